--- /dev/null
+++ b/crates/celerycove-cli/src/main.rs
@@ -0,0 +1,2 @@
+//! Pending.
+fn main() {}
--- /dev/null
+++ b/crates/celerycove-disk/src/lib.rs
@@ -0,0 +1,1 @@
+//! Pending.
--- /dev/null
+++ b/crates/celerycove-types/src/lib.rs
@@ -0,0 +1,16 @@
+//! Identifiers, labels, selectors and time shared by all crates of celerycove.
+
+#![deny(missing_docs, rust_2018_idioms)]
+#![forbid(unsafe_code)]
+
+pub mod id;
+pub mod label;
+pub mod map;
+pub mod violation;
+
+pub use label::{Labels, Requirements};
+pub use map::{Map, Set};
+pub use violation::Violation;
+
+/// Time since an epoch that only the one process knows; never compared between processes.
+pub type Timestamp = std::time::Duration;
