--- /dev/null
+++ b/crates/celerycove-control/src/message.rs
@@ -0,0 +1,78 @@
+//! Messages between the instances of the control log.
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    log::{Entry, Index, Term},
+    storage::Snapshot,
+};
+
+/// Counts the rounds in which a leader asks a quorum whether it still leads.
+pub type Round = u64;
+
+/// A message and the term of its sender.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Message {
+    /// The sender's term; for the questions and consents of a pre-vote, the term it would start.
+    pub term: Term,
+    /// What is asked or answered.
+    pub body: Body,
+}
+
+/// What a message asks or answers.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Body {
+    /// Asks whether a vote would be given, without starting a term.
+    PreVote {
+        /// Last position of the sender's log.
+        last_index: Index,
+        /// Its term.
+        last_term: Term,
+    },
+    /// Answers a pre-vote.
+    PreVoteReply {
+        /// Whether the vote would be given.
+        granted: bool,
+    },
+    /// Asks for a vote.
+    Vote {
+        /// Last position of the sender's log.
+        last_index: Index,
+        /// Its term.
+        last_term: Term,
+    },
+    /// Answers a vote.
+    VoteReply {
+        /// Whether the vote is given.
+        granted: bool,
+    },
+    /// Replicates entries and tells that the sender leads.
+    Append {
+        /// The position before the entries.
+        previous: Index,
+        /// Its term.
+        previous_term: Term,
+        /// The entries, none in a heartbeat.
+        entries: Vec<Entry>,
+        /// Up to where the sender knows the log to be committed.
+        commit: Index,
+        /// The leader's round.
+        round: Round,
+    },
+    /// Answers `Append` and `Install`.
+    AppendReply {
+        /// The position up to which the logs agree, or `None` if the previous entry did not match.
+        matched: Option<Index>,
+        /// The last position of the follower's log, from where to try next.
+        last_index: Index,
+        /// The round answered.
+        round: Round,
+    },
+    /// Brings a follower that lacks entries which the leader no longer has.
+    Install {
+        /// The snapshot.
+        snapshot: Box<Snapshot>,
+        /// The leader's round.
+        round: Round,
+    },
+}
--- /dev/null
+++ b/crates/celerycove-control/src/replicate.rs
@@ -0,0 +1,297 @@
+//! Replication of the log from the leader to its followers.
+
+use celerycove_types::{Timestamp, id};
+
+use crate::{
+    core::{Core, Progress},
+    log::{Command, Entry, Index, Members, Term},
+    message::{Body, Round},
+    node::{Action, Answer, Proposed},
+    storage::{Ballot, Snapshot},
+};
+
+/// How many entries one message carries.
+const ENTRIES_PER_MESSAGE: usize = 256;
+/// How many unanswered rounds a leader remembers.
+const REMEMBERED_ROUNDS: usize = 64;
+
+impl Core {
+    pub(crate) fn start_leading(&mut self) {
+        self.leader = Some(self.me.clone());
+        self.confirmed = None;
+        self.rounds.clear();
+        self.progress.clear();
+        self.led_since = self.log.last_index() + 1;
+        self.heard = Some(self.now);
+        self.append_commands(vec![Command::Noop]);
+        self.sync_progress();
+        self.heartbeat();
+    }
+
+    pub(crate) fn stop_leading(&mut self) {
+        self.led_since = Index::MAX;
+        self.confirmed = None;
+        self.abandon_waiting();
+        self.restart_election_timer();
+    }
+
+    pub(crate) fn propose(&mut self, proposed: Vec<Proposed>) {
+        let mut commands = Vec::new();
+        for Proposed { token, command } in proposed {
+            if let Command::Members(members) = &command
+                && !self.may_change_members(members)
+            {
+                let answer = Answer::Refused("another change of members is under way, or more than one instance would change");
+                self.actions.push(Action::Answer { token, answer });
+                continue;
+            }
+            let index = self.log.last_index() + 1 + commands.len() as Index;
+            self.waiting.insert(index, token);
+            commands.push(command);
+        }
+        self.append_commands(commands);
+        self.sync_progress();
+        self.replicate();
+        self.advance_commit();
+    }
+
+    /// Changes of members go one instance at a time, each committed before the next.
+    fn may_change_members(&self, members: &Members) -> bool {
+        let settled = self
+            .log
+            .iter()
+            .filter(|entry| entry.index > self.commit)
+            .all(|entry| !matches!(entry.command, Command::Members(_)));
+        let changed = self.members.symmetric_difference(members).count();
+        settled && self.commit >= self.led_since && changed == 1 && !members.is_empty()
+    }
+
+    fn append_commands(&mut self, commands: Vec<Command>) {
+        let first = self.log.last_index() + 1;
+        let term = self.ballot.term;
+        let entries: Vec<Entry> = (first..)
+            .zip(commands)
+            .map(|(index, command)| Entry {
+                term,
+                index,
+                command,
+            })
+            .collect();
+        self.append(&entries);
+    }
+
+    /// Follows a change of members: starts on new ones, forgets removed ones.
+    fn sync_progress(&mut self) {
+        let next = self.log.last_index() + 1;
+        let others = self.others();
+        self.progress.retain(|peer, _| others.contains(peer));
+        for peer in others {
+            let sent = self.now;
+            self.progress.entry(peer).or_insert(Progress {
+                matched: 0,
+                next,
+                round: 0,
+                sent,
+            });
+        }
+    }
+
+    /// Starts a round: its answers show that the sender still led when it was sent.
+    pub(crate) fn heartbeat(&mut self) {
+        self.round += 1;
+        self.rounds.insert(self.round, self.now);
+        if self.rounds.len() > REMEMBERED_ROUNDS {
+            self.rounds.pop_first();
+        }
+        self.heartbeat_due = self.now + self.options.heartbeat;
+        self.replicate();
+        self.confirm_round();
+        self.advance_commit();
+    }
+
+    fn replicate(&mut self) {
+        for peer in self.others() {
+            self.replicate_to(&peer);
+        }
+    }
+
+    fn replicate_to(&mut self, peer: &id::Process) {
+        let Some(progress) = self.progress.get_mut(peer) else {
+            return;
+        };
+        progress.sent = self.now;
+        let previous = progress.next - 1;
+        let body = match self.log.term_at(previous) {
+            Some(previous_term) => {
+                let entries = self.log.slice(progress.next, ENTRIES_PER_MESSAGE);
+                // Sending on before the answer keeps a slow link full; a refusal rewinds.
+                progress.next += entries.len() as Index;
+                Body::Append {
+                    previous,
+                    previous_term,
+                    entries,
+                    commit: self.commit,
+                    round: self.round,
+                }
+            }
+            None => self.install_body(),
+        };
+        self.send(peer, body);
+    }
+
+    fn install_body(&self) -> Body {
+        let term = self.log.term_at(self.applied).unwrap_or_default();
+        Body::Install {
+            snapshot: Box::new(Snapshot {
+                index: self.applied,
+                term,
+                members: self.members.clone(),
+                state: self.state.clone(),
+            }),
+            round: self.round,
+        }
+    }
+
+    pub(crate) fn take_reply(
+        &mut self,
+        from: &id::Process,
+        matched: Option<Index>,
+        last_index: Index,
+        round: Round,
+    ) {
+        let next_index = self.log.last_index() + 1;
+        let Some(progress) = self.progress.get_mut(from) else {
+            return;
+        };
+        progress.round = progress.round.max(round);
+        if let Some(matched) = matched {
+            progress.matched = progress.matched.max(matched);
+            progress.next = progress.next.max(matched + 1);
+        } else {
+            let back = progress.next.saturating_sub(1).min(last_index + 1);
+            progress.next = back.max(progress.matched + 1).min(next_index);
+        }
+        let more = progress.next < next_index;
+        self.confirm_round();
+        self.advance_commit();
+        if more {
+            self.replicate_to(from);
+        }
+    }
+
+    /// Notes the start of the latest round that a quorum has answered.
+    fn confirm_round(&mut self) {
+        let mut rounds: Vec<Round> = self.progress.values().map(|p| p.round).collect();
+        if self.is_member() {
+            rounds.push(self.round);
+        }
+        rounds.sort_unstable_by(|a, b| b.cmp(a));
+        let answered = rounds.get(self.quorum() - 1).copied().unwrap_or_default();
+        if let Some(started) = self.rounds.get(&answered) {
+            self.confirmed = self.confirmed.max(Some(*started));
+            self.heard = self.confirmed;
+            self.rounds = self.rounds.split_off(&answered);
+        }
+    }
+
+    /// Commits what a quorum holds, once an entry of the own term is among it.
+    fn advance_commit(&mut self) {
+        let mut matched: Vec<Index> = self.progress.values().map(|p| p.matched).collect();
+        if self.is_member() {
+            matched.push(self.log.last_index());
+        }
+        matched.sort_unstable_by(|a, b| b.cmp(a));
+        let index = matched.get(self.quorum() - 1).copied().unwrap_or_default();
+        let own_term = self.log.term_at(index) == Some(self.ballot.term);
+        if own_term && index > self.commit && self.failed.is_none() {
+            self.commit_to(index);
+        }
+    }
+
+    /// Tells whether no quorum has answered for an election timeout.
+    pub(crate) fn has_lost_quorum(&self) -> bool {
+        self.heard
+            .is_none_or(|heard| self.now >= heard + self.options.election * 2)
+    }
+
+    /// Tells whether the members no longer include this instance, and a quorum knows it.
+    pub(crate) fn is_removed(&self) -> bool {
+        !self.is_member() && self.commit == self.log.last_index()
+    }
+
+    pub(crate) fn take_append(
+        &mut self,
+        from: &id::Process,
+        previous: Index,
+        previous_term: Term,
+        entries: &[Entry],
+        commit: Index,
+        round: Round,
+    ) {
+        self.follow(from);
+        let agrees = previous < self.log.base()
+            || self.log.term_at(previous) == Some(previous_term);
+        if !agrees {
+            self.reply(from, None, round);
+            return;
+        }
+        let fresh = entries
+            .iter()
+            .position(|entry| self.log.term_at(entry.index) != Some(entry.term) && entry.index > self.log.base());
+        if let Some(fresh) = fresh {
+            self.append(&entries[fresh..]);
+        }
+        let matched = previous + entries.len() as Index;
+        self.commit_to(commit.min(matched));
+        self.become_voter(commit);
+        self.reply(from, Some(matched), round);
+    }
+
+    pub(crate) fn take_snapshot(&mut self, from: &id::Process, snapshot: Snapshot, round: Round) {
+        self.follow(from);
+        let index = snapshot.index;
+        self.install(snapshot);
+        self.become_voter(index);
+        let matched = self.commit.max(index);
+        self.reply(from, Some(matched), round);
+    }
+
+    fn follow(&mut self, leader: &id::Process) {
+        self.leader = Some(leader.clone());
+        self.heard = Some(self.now);
+        self.restart_election_timer();
+    }
+
+    /// An instance that began with an empty disk may vote again once it holds all that its leader
+    /// knows to be committed; it never votes again in the leader's own term.
+    fn become_voter(&mut self, leader_commit: Index) {
+        if self.ballot.voter || self.commit < leader_commit || !self.is_member() {
+            return;
+        }
+        let ballot = Ballot {
+            term: self.ballot.term,
+            vote: self.leader.clone(),
+            voter: true,
+        };
+        self.save_ballot(ballot);
+    }
+
+    fn reply(&mut self, to: &id::Process, matched: Option<Index>, round: Round) {
+        let last_index = self.log.last_index();
+        self.send(
+            to,
+            Body::AppendReply {
+                matched,
+                last_index,
+                round,
+            },
+        );
+    }
+
+    /// The age of the statement that this instance leads and its state is the newest.
+    pub(crate) fn freshness(&self) -> Option<Timestamp> {
+        let caught_up = self.commit >= self.led_since && self.applied == self.commit;
+        let confirmed = self.confirmed.filter(|_| caught_up)?;
+        self.now.checked_sub(confirmed)
+    }
+}
--- /dev/null
+++ b/crates/celerycove-sync/src/children.rs
@@ -0,0 +1,98 @@
+//! What a relay knows of the processes that pull from it.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use celerycove_types::{Timestamp, id};
+
+use crate::{
+    announce::{Announcement, Spread, add_spread},
+    directory::Term,
+    follower::Pull,
+};
+
+#[derive(Debug, Clone)]
+struct Child {
+    announcement: Announcement,
+    /// The process that passed the announcement on, itself for a direct child.
+    via: id::Process,
+    /// The directory's term in which upstream has the announcement.
+    known: Option<Term>,
+}
+
+/// Announcements kept for upstream, and how far the configuration has spread.
+#[derive(Debug, Clone, Default)]
+pub struct Children {
+    children: BTreeMap<id::Process, Child>,
+    direct: BTreeMap<id::Process, (Timestamp, Spread)>,
+    asked: Vec<Announcement>,
+}
+
+impl Children {
+    /// Notes a pull.
+    pub fn note(&mut self, now: Timestamp, pull: &Pull) {
+        let heard = (now, pull.spread.clone());
+        self.direct.insert(pull.process.clone(), heard);
+        for announcement in &pull.announcements {
+            let known = self.children.get(&announcement.process);
+            let newer = known.is_none_or(|c| announcement.is_newer(&c.announcement));
+            let child = Child {
+                announcement: announcement.clone(),
+                via: pull.process.clone(),
+                known: known.filter(|_| !newer).and_then(|c| c.known),
+            };
+            self.children.insert(announcement.process.clone(), child);
+        }
+        for silent in &pull.silent {
+            self.children
+                .retain(|process, child| process != silent || child.via != pull.process);
+        }
+    }
+
+    /// Gives the announcements that upstream lacks in `term`.
+    pub fn unknown(&mut self, term: Term) -> Vec<Announcement> {
+        self.asked = self
+            .children
+            .values()
+            .filter(|child| child.known != Some(term))
+            .map(|child| child.announcement.clone())
+            .collect();
+        self.asked.clone()
+    }
+
+    /// Notes that upstream took the announcements last given, in `term`.
+    pub fn taken(&mut self, term: Term) {
+        for announcement in std::mem::take(&mut self.asked) {
+            if let Some(child) = self.children.get_mut(&announcement.process)
+                && child.announcement == announcement
+            {
+                child.known = Some(term);
+            }
+        }
+    }
+
+    /// Drops the children silent for `timeout` and gives them.
+    pub fn silent(&mut self, now: Timestamp, timeout: Duration) -> Vec<id::Process> {
+        self.direct.retain(|_, (heard, _)| now < *heard + timeout);
+        let direct = &self.direct;
+        let silent: Vec<id::Process> = self
+            .children
+            .iter()
+            .filter(|(_, child)| !direct.contains_key(&child.via))
+            .map(|(process, _)| process.clone())
+            .collect();
+        for process in &silent {
+            self.children.remove(process);
+        }
+        silent
+    }
+
+    /// How far the configuration has spread among the children.
+    #[must_use]
+    pub fn spread(&self) -> Spread {
+        let mut spread = Spread::new();
+        for (_, below) in self.direct.values() {
+            add_spread(&mut spread, below.clone());
+        }
+        spread
+    }
+}
