--- /dev/null
+++ b/crates/celerycove-limit/src/owner.rs
@@ -0,0 +1,253 @@
+//! The owner of buckets, who lends tokens.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use celerycove_types::{Timestamp, Violation, id};
+use serde::{Deserialize, Serialize};
+
+/// Names a loan of one owner.
+pub type LoanId = u64;
+
+/// The longest that a loan lasts.
+pub const LONGEST_LOAN: Duration = Duration::from_millis(500);
+/// The shortest that a loan lasts.
+pub const SHORTEST_LOAN: Duration = Duration::from_millis(50);
+/// How long after its end a loan may still be given back.
+const GIVE_BACK: Duration = Duration::from_secs(10);
+/// Rounding errors of refills stay below this many tokens.
+const TOLERANCE: f64 = 1e-6;
+
+/// What an organisation is owed.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Entitlement {
+    /// Requests a second.
+    pub rate: f64,
+    /// Requests at once.
+    pub burst: u32,
+}
+
+/// An entry asks for tokens.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Ask {
+    /// For whom.
+    pub organisation: id::Organisation,
+    /// How many it expects to spend soon; zero only gives back.
+    pub want: u32,
+    /// What is still unspent of earlier loans that last; all others are spent or given back.
+    pub open: Vec<(LoanId, u32)>,
+    /// Earlier loans that were closed with so many unspent.
+    pub closed: Vec<(LoanId, u32)>,
+}
+
+/// Tokens lent.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Loan {
+    /// Names the loan.
+    pub id: LoanId,
+    /// How many tokens; zero if there are none.
+    pub tokens: u32,
+    /// How long they may be spent, from the time of asking.
+    pub lasts: Duration,
+    /// When to ask again if there are none.
+    pub retry: Duration,
+    /// Whether tokens may come back from other entries before the refill brings any.
+    pub outstanding: bool,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+struct Lent {
+    unspent: u32,
+    /// Time left, counted from the bucket's own time.
+    until: Timestamp,
+}
+
+/// The tokens of one organisation.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+pub struct Bucket {
+    level: f64,
+    at: Timestamp,
+    lent: BTreeMap<LoanId, Lent>,
+}
+
+impl Bucket {
+    /// Tokens that may still be spent.
+    fn outstanding(&self) -> u32 {
+        self.lent
+            .values()
+            .filter(|lent| lent.until > self.at)
+            .map(|lent| lent.unspent)
+            .sum()
+    }
+
+    fn refill(&mut self, now: Timestamp, entitlement: Entitlement) {
+        let elapsed = now.saturating_sub(self.at).as_secs_f64();
+        self.at = self.at.max(now);
+        // What was lent and never given back may have been spent: only a report brings it back.
+        self.lent.retain(|_, lent| lent.until + GIVE_BACK > now);
+        let room = f64::from(entitlement.burst) - f64::from(self.outstanding());
+        let filled = self.level + elapsed * entitlement.rate;
+        self.level = filled.min(room).max(0.0);
+    }
+
+    fn settle(&mut self, ask: &Ask) {
+        for (loan, unspent) in &ask.open {
+            if let Some(lent) = self.lent.get_mut(loan) {
+                lent.unspent = lent.unspent.min(*unspent);
+            }
+        }
+        for (loan, unspent) in &ask.closed {
+            if let Some(lent) = self.lent.remove(loan) {
+                self.level += f64::from(lent.unspent.min(*unspent));
+            }
+        }
+    }
+
+    /// Re-bases the bucket's times from one clock to another.
+    #[must_use]
+    pub fn rebased(mut self, from: Timestamp, to: Timestamp) -> Self {
+        let shift = |time: Timestamp| to.saturating_sub(from.saturating_sub(time)) + time.saturating_sub(from);
+        self.at = shift(self.at);
+        for lent in self.lent.values_mut() {
+            lent.until = shift(lent.until);
+        }
+        self
+    }
+}
+
+/// The owner of some organisations' buckets during one epoch.
+#[derive(Debug, Clone)]
+pub struct Owner {
+    quiet_until: Timestamp,
+    next: LoanId,
+    buckets: BTreeMap<id::Organisation, Bucket>,
+}
+
+impl Owner {
+    /// Starts owning. Until `quiet_until` an earlier owner's loans may last, so nothing is lent;
+    /// `epoch` keeps the names of loans apart from those of earlier owners.
+    #[must_use]
+    pub fn new(epoch: id::Epoch, quiet_until: Timestamp) -> Self {
+        Self {
+            quiet_until,
+            next: epoch << 32,
+            buckets: BTreeMap::new(),
+        }
+    }
+
+    /// Takes buckets over from the owner before, who lends no more.
+    pub fn inherit(&mut self, now: Timestamp, sent: Timestamp, buckets: BTreeMap<id::Organisation, Bucket>) {
+        self.quiet_until = now;
+        for (organisation, bucket) in buckets {
+            self.buckets
+                .entry(organisation)
+                .or_insert_with(|| bucket.rebased(sent, now));
+        }
+    }
+
+    /// Gives the buckets away; this owner must lend no more.
+    #[must_use]
+    pub fn bequeath(self) -> BTreeMap<id::Organisation, Bucket> {
+        self.buckets
+    }
+
+    /// Lends tokens.
+    pub fn lend(&mut self, now: Timestamp, ask: &Ask, entitlement: Entitlement) -> Loan {
+        let quiet = self.quiet_until.saturating_sub(now);
+        if !quiet.is_zero() {
+            return Loan {
+                id: 0,
+                tokens: 0,
+                lasts: Duration::ZERO,
+                retry: quiet,
+                outstanding: true,
+            };
+        }
+        let quiet_until = self.quiet_until;
+        let bucket = self
+            .buckets
+            .entry(ask.organisation.clone())
+            .or_insert_with(|| Bucket {
+                level: f64::from(entitlement.burst),
+                at: quiet_until,
+                lent: BTreeMap::new(),
+            });
+        bucket.settle(ask);
+        bucket.refill(now, entitlement);
+        let tokens = share(bucket.level, ask.want);
+        let lasts = loan_length(entitlement);
+        if tokens == 0 {
+            return refuse(bucket, now, entitlement);
+        }
+        bucket.level -= f64::from(tokens);
+        self.next += 1;
+        let lent = Lent {
+            unspent: tokens,
+            until: now + lasts,
+        };
+        bucket.lent.insert(self.next, lent);
+        Loan {
+            id: self.next,
+            tokens,
+            lasts,
+            retry: Duration::ZERO,
+            outstanding: false,
+        }
+    }
+
+    /// Checks that tokens in the bucket and lent together stay within the burst.
+    ///
+    /// # Errors
+    ///
+    /// Returns the broken invariant.
+    pub fn check(
+        &self,
+        entitlement: impl Fn(&id::Organisation) -> Option<Entitlement>,
+    ) -> Result<(), Violation> {
+        for (organisation, bucket) in &self.buckets {
+            let Some(owed) = entitlement(organisation) else {
+                continue;
+            };
+            let total = bucket.level + f64::from(bucket.outstanding());
+            Violation::unless(
+                total <= f64::from(owed.burst) + TOLERANCE,
+                "tokens-within-burst",
+                || format!("{organisation}: {total} of {}", owed.burst),
+            )?;
+        }
+        Ok(())
+    }
+}
+
+/// How many tokens to lend: half of what is there at most, so that the next entry finds some.
+fn share(level: f64, want: u32) -> u32 {
+    let whole = (level + TOLERANCE).floor().min(f64::from(u32::MAX));
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    let whole = whole as u32;
+    want.min(whole.div_ceil(2))
+}
+
+/// How long a loan lasts: so short that tokens asleep in one entry soon come back.
+fn loan_length(entitlement: Entitlement) -> Duration {
+    let quarter = f64::from(entitlement.burst) / entitlement.rate / 4.0;
+    Duration::from_secs_f64(quarter.clamp(
+        SHORTEST_LOAN.as_secs_f64(),
+        LONGEST_LOAN.as_secs_f64(),
+    ))
+}
+
+fn refuse(bucket: &Bucket, now: Timestamp, entitlement: Entitlement) -> Loan {
+    let refill = Duration::from_secs_f64((1.0 - bucket.level).max(0.0) / entitlement.rate);
+    let back = bucket
+        .lent
+        .values()
+        .filter(|lent| lent.unspent > 0 && lent.until > now)
+        .map(|lent| lent.until.saturating_sub(now))
+        .min();
+    Loan {
+        id: 0,
+        tokens: 0,
+        lasts: Duration::ZERO,
+        retry: back.map_or(refill, |back| back.min(refill)),
+        outstanding: back.is_some(),
+    }
+}
