--- /dev/null
+++ b/crates/celerycove-cli/src/command/look.rs
@@ -0,0 +1,158 @@
+//! Commands that only look.
+
+use celerycove_config::file;
+use celerycove_program::request::Account;
+use celerycove_sync::{Life, directory::Entry};
+use celerycove_wire::operator;
+use serde::Serialize;
+use serde_json::json;
+
+use crate::{client::Client, exit::Failure, table::render};
+
+fn print_json<T: Serialize>(value: &T) -> Result<(), Failure> {
+    let text =
+        serde_json::to_string_pretty(value).map_err(|error| Failure::Failed(error.to_string()))?;
+    println!("{text}");
+    Ok(())
+}
+
+pub(super) async fn get(client: &Client) -> Result<(), Failure> {
+    let current = client.config().await?;
+    if client.options.json {
+        return print_json(&current.config);
+    }
+    println!(
+        "; version {}\n{}",
+        current.config.version,
+        file::render(&current.config)
+    );
+    Ok(())
+}
+
+pub(super) async fn keys(client: &Client) -> Result<(), Failure> {
+    let config = client.config().await?.config;
+    if client.options.json {
+        let keys: Vec<_> = config
+            .keys
+            .iter()
+            .map(|(id, key)| json!({"id": id, "organisation": key.organisation}))
+            .collect();
+        return print_json(&keys);
+    }
+    let rows: Vec<Vec<String>> = config
+        .keys
+        .iter()
+        .map(|(id, key)| vec![id.to_string(), key.organisation.to_string()])
+        .collect();
+    print!("{}", render(&["KEY", "ORGANISATION"], &rows));
+    Ok(())
+}
+
+fn state(entry: &Entry) -> &'static str {
+    let failing = entry
+        .announcement
+        .backend
+        .as_ref()
+        .is_some_and(|b| b.failing);
+    match (entry.gone, entry.announcement.life) {
+        (true, _) => "gone",
+        (false, Life::Leaving) => "leaving",
+        (false, Life::Serving) if failing => "failing",
+        (false, Life::Serving) => "serving",
+    }
+}
+
+pub(super) async fn status(client: &Client) -> Result<(), Failure> {
+    let status: operator::Status = client.ask::<(), _>(operator::STATUS, None, true).await?;
+    if client.options.json {
+        return print_json(&status);
+    }
+    println!(
+        "version {}, leader {} in term {}, members {}",
+        status.version,
+        status.leader,
+        status.term,
+        status.members.join(", "),
+    );
+    println!(
+        "shards: {} of {} served, {} learning\n",
+        status.shards.served, status.shards.total, status.shards.learning
+    );
+    let spread: Vec<Vec<String>> = status
+        .spread
+        .iter()
+        .map(|(data_centre, in_force)| {
+            vec![
+                data_centre.to_string(),
+                in_force.processes.to_string(),
+                in_force.oldest.to_string(),
+                in_force.slowest.to_string(),
+            ]
+        })
+        .collect();
+    println!(
+        "{}",
+        render(
+            &["DATA CENTRE", "PROCESSES", "OLDEST VERSION", "SLOWEST"],
+            &spread
+        )
+    );
+    let rows: Vec<Vec<String>> = status
+        .processes
+        .iter()
+        .map(|entry| {
+            let announcement = &entry.announcement;
+            let backend = announcement.backend.as_ref();
+            vec![
+                announcement.process.to_string(),
+                announcement.data_centre.to_string(),
+                state(entry).to_owned(),
+                backend.map_or_else(|| "-".to_owned(), |b| b.id.to_string()),
+                announcement.address.to_string(),
+            ]
+        })
+        .collect();
+    print!(
+        "{}",
+        render(
+            &["PROCESS", "DATA CENTRE", "STATE", "BACKEND", "ADDRESS"],
+            &rows
+        )
+    );
+    Ok(())
+}
+
+pub(super) async fn programs(client: &Client) -> Result<(), Failure> {
+    let accounts: Vec<Account> = client.ask::<(), _>(operator::PROGRAMS, None, true).await?;
+    if client.options.json {
+        return print_json(&accounts);
+    }
+    let rows: Vec<Vec<String>> = accounts
+        .iter()
+        .map(|account| {
+            let calls: u32 = account.calls.values().sum();
+            vec![
+                account.program.to_string(),
+                account.organisation.to_string(),
+                account
+                    .budget
+                    .map_or_else(|| "-".to_owned(), |budget| budget.to_string()),
+                account.spent.to_string(),
+                account.reserved.to_string(),
+                calls.to_string(),
+                if account.ended { "ended" } else { "open" }.to_owned(),
+            ]
+        })
+        .collect();
+    let heading = [
+        "PROGRAM",
+        "ORGANISATION",
+        "BUDGET",
+        "SPENT",
+        "RESERVED",
+        "CALLS",
+        "STATE",
+    ];
+    print!("{}", render(&heading, &rows));
+    Ok(())
+}
--- /dev/null
+++ b/crates/celerycove-cli/src/table.rs
@@ -0,0 +1,27 @@
+//! Tables for people.
+
+/// Writes rows under a heading, in columns as wide as they need.
+#[must_use]
+pub fn render(heading: &[&str], rows: &[Vec<String>]) -> String {
+    let width = |column: usize| {
+        rows.iter()
+            .map(|row| row[column].chars().count())
+            .chain([heading[column].len()])
+            .max()
+            .unwrap_or(0)
+    };
+    let widths: Vec<usize> = (0..heading.len()).map(width).collect();
+    let line = |cells: Vec<&str>| {
+        let cells: Vec<String> = cells
+            .iter()
+            .zip(&widths)
+            .map(|(cell, width)| format!("{cell:width$}"))
+            .collect();
+        format!("{}\n", cells.join("  ").trim_end())
+    };
+    let mut text = line(heading.to_vec());
+    for row in rows {
+        text.push_str(&line(row.iter().map(String::as_str).collect()));
+    }
+    text
+}
--- a/crates/celerycove-config/src/apply.rs
+++ b/crates/celerycove-config/src/apply.rs
@@ -64,7 +64,9 @@
             if organisation.burst == 0 || organisation.weight == 0 {
                 return Err(Error::Burst(id.to_string()));
             }
-            config.organisations.insert(id.clone(), organisation.clone());
+            config
+                .organisations
+                .insert(id.clone(), organisation.clone());
         }
         Change::Label { subject, labels } => {
             for (key, value) in labels {
--- a/crates/celerycove-config/src/change.rs
+++ b/crates/celerycove-config/src/change.rs
@@ -113,7 +113,10 @@
                 None => format!("selector {name}: removed"),
             },
             Self::Drain { subject, drained } => {
-                format!("{subject}: {}", if *drained { "drained" } else { "restored" })
+                format!(
+                    "{subject}: {}",
+                    if *drained { "drained" } else { "restored" }
+                )
             }
             Self::Issue { id, key } => format!("key {id}: issued to {}", key.organisation),
             Self::Withdraw { id } => format!("key {id}: withdrawn"),
--- a/crates/celerycove-config/src/document.rs
+++ b/crates/celerycove-config/src/document.rs
@@ -6,11 +6,7 @@
     str::FromStr,
 };
 
-use celerycove_types::{
-    Labels, Requirements,
-    id,
-    label,
-};
+use celerycove_types::{Labels, Requirements, id, label};
 use serde::{Deserialize, Serialize};
 
 /// What may carry labels or be drained.
--- a/crates/celerycove-config/src/file.rs
+++ b/crates/celerycove-config/src/file.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     change::Change,
-    document::{Organisation, Selector, Subject},
+    document::{Config, Organisation, Selector, Subject},
 };
 
 /// A fault in a file of changes.
@@ -51,7 +51,44 @@
             Err(fault) => faults.push(fault),
         }
     }
-    if faults.is_empty() { Ok(changes) } else { Err(faults) }
+    if faults.is_empty() {
+        Ok(changes)
+    } else {
+        Err(faults)
+    }
+}
+
+/// Writes a configuration so that [`parse`] reads it back, without its keys.
+#[must_use]
+pub fn render(config: &Config) -> String {
+    let mut ini = Ini::new();
+    for (id, organisation) in &config.organisations {
+        ini.with_section(Some(format!("organisation {id}")))
+            .set("rate", organisation.rate.to_string())
+            .set("burst", organisation.burst.to_string())
+            .set("weight", organisation.weight.to_string());
+    }
+    for (subject, labels) in &config.labels {
+        for (key, value) in labels {
+            ini.with_section(Some(format!("labels {subject}")))
+                .set(key, value);
+        }
+    }
+    for (name, selector) in &config.selectors {
+        ini.with_section(Some(format!("selector {name}")))
+            .set("traffic", selector.traffic.to_string())
+            .set("target", selector.target.to_string())
+            .set("confine", selector.confine.to_string());
+    }
+    for subject in &config.drained {
+        ini.with_section(Some(format!("drain {subject}")))
+            .set("drained", "true");
+    }
+    let mut text = Vec::new();
+    // Writing to memory does not fail, and all that is written is text.
+    let written = ini.write_to(&mut text).is_ok();
+    debug_assert!(written);
+    String::from_utf8_lossy(&text).into_owned()
 }
 
 fn fault(section: &str, key: &str, reason: impl ToString) -> Fault {
@@ -122,7 +159,11 @@
 
 fn only(heading: &str, properties: &Properties, known: &[&str]) -> Result<(), Fault> {
     match properties.iter().find(|(key, _)| !known.contains(key)) {
-        Some((key, _)) => Err(fault(heading, key, format!("unknown key; known: {}", known.join(", ")))),
+        Some((key, _)) => Err(fault(
+            heading,
+            key,
+            format!("unknown key; known: {}", known.join(", ")),
+        )),
         None => Ok(()),
     }
 }
@@ -132,7 +173,10 @@
     T: std::str::FromStr<Err: std::fmt::Display>,
 {
     match properties.get(key) {
-        Some(text) => text.trim().parse().map_err(|error| fault(heading, key, error)),
+        Some(text) => text
+            .trim()
+            .parse()
+            .map_err(|error| fault(heading, key, error)),
         None => Ok(standard),
     }
 }
--- a/crates/celerycove-config/src/select.rs
+++ b/crates/celerycove-config/src/select.rs
@@ -19,7 +19,9 @@
 #[must_use]
 pub fn is_drained(config: &Config, backend: &id::Backend, data_centre: &id::DataCentre) -> bool {
     config.drained.contains(&Subject::Backend(backend.clone()))
-        || config.drained.contains(&Subject::DataCentre(data_centre.clone()))
+        || config
+            .drained
+            .contains(&Subject::DataCentre(data_centre.clone()))
 }
 
 /// Gives the labels of a target: its own, then those that operators attached.
--- a/crates/celerycove-config/src/store.rs
+++ b/crates/celerycove-config/src/store.rs
@@ -48,7 +48,13 @@
         Violation::unless(
             self.outcomes.len() == self.order.len() && self.order.len() <= REMEMBERED_OUTCOMES,
             "outcomes-bounded",
-            || format!("{} outcomes, {} in order", self.outcomes.len(), self.order.len()),
+            || {
+                format!(
+                    "{} outcomes, {} in order",
+                    self.outcomes.len(),
+                    self.order.len()
+                )
+            },
         )
     }
 
@@ -77,7 +83,12 @@
             version: version + 1,
             changes: proposal.changes.clone(),
         };
-        (Outcome::Accepted { version: version + 1 }, Some(step))
+        (
+            Outcome::Accepted {
+                version: version + 1,
+            },
+            Some(step),
+        )
     }
 
     fn remember(&mut self, request: id::Request, outcome: Outcome) {
--- a/crates/celerycove-control/src/log.rs
+++ b/crates/celerycove-control/src/log.rs
@@ -70,7 +70,9 @@
     /// The term of the last entry.
     #[must_use]
     pub fn last_term(&self) -> Term {
-        self.entries.back().map_or(self.base_term, |entry| entry.term)
+        self.entries
+            .back()
+            .map_or(self.base_term, |entry| entry.term)
     }
 
     /// The position up to which entries are only in the snapshot.
--- a/crates/celerycove-control/src/placement.rs
+++ b/crates/celerycove-control/src/placement.rs
@@ -175,9 +175,9 @@
 pub fn stable_hash(name: &str) -> u64 {
     const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
     const PRIME: u64 = 0x0100_0000_01b3;
-    let hash = name
-        .bytes()
-        .fold(OFFSET, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(PRIME));
+    let hash = name.bytes().fold(OFFSET, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(PRIME)
+    });
     // FNV leaves the high bits of short names poorly mixed.
     let hash = (hash ^ (hash >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
     hash ^ (hash >> 33)
--- a/crates/celerycove-control/src/placement/plan.rs
+++ b/crates/celerycove-control/src/placement/plan.rs
@@ -125,7 +125,10 @@
 
     /// Makes a live backup the primary; without one, the shard waits for a replica to return.
     fn promote(&self, next: &mut Assignment) -> Option<()> {
-        let heir = next.backups.iter().position(|backup| self.is_live(backup))?;
+        let heir = next
+            .backups
+            .iter()
+            .position(|backup| self.is_live(backup))?;
         next.primary = Some(next.backups.remove(heir));
         Some(())
     }
@@ -201,7 +204,10 @@
             .iter()
             .filter(|(process, candidate)| !candidate.leaving && !next.involves(process))
             .min_by_key(|(process, candidate)| {
-                let shared = used.iter().filter(|dc| **dc == &candidate.data_centre).count();
+                let shared = used
+                    .iter()
+                    .filter(|dc| **dc == &candidate.data_centre)
+                    .count();
                 let load = self.load.get(*process).copied().unwrap_or_default();
                 (shared, load, stable_hash(&format!("{shard}/{process}")))
             })?;
--- a/crates/celerycove-control/src/replicate.rs
+++ b/crates/celerycove-control/src/replicate.rs
@@ -41,7 +41,9 @@
             if let Command::Members(members) = &command
                 && !self.may_change_members(members)
             {
-                let answer = Answer::Refused("another change of members is under way, or more than one instance would change");
+                let answer = Answer::Refused(
+                    "another change of members is under way, or more than one instance would change",
+                );
                 self.actions.push(Action::Answer { token, answer });
                 continue;
             }
@@ -229,15 +231,15 @@
         round: Round,
     ) {
         self.follow(from);
-        let agrees = previous < self.log.base()
-            || self.log.term_at(previous) == Some(previous_term);
+        let agrees =
+            previous < self.log.base() || self.log.term_at(previous) == Some(previous_term);
         if !agrees {
             self.reply(from, None, round);
             return;
         }
-        let fresh = entries
-            .iter()
-            .position(|entry| self.log.term_at(entry.index) != Some(entry.term) && entry.index > self.log.base());
+        let fresh = entries.iter().position(|entry| {
+            self.log.term_at(entry.index) != Some(entry.term) && entry.index > self.log.base()
+        });
         if let Some(fresh) = fresh {
             self.append(&entries[fresh..]);
         }
--- a/crates/celerycove-control/src/state.rs
+++ b/crates/celerycove-control/src/state.rs
@@ -42,7 +42,9 @@
                 let (outcome, step) = self.store.propose(proposal);
                 Effect::Configured(outcome, step)
             }
-            Command::Place(changes) => Effect::Placed(placement::apply(&mut self.placement, changes)),
+            Command::Place(changes) => {
+                Effect::Placed(placement::apply(&mut self.placement, changes))
+            }
             Command::Fence => {
                 self.fence += 1;
                 Effect::Fenced(self.fence)
--- a/crates/celerycove-daemon/src/lib.rs
+++ b/crates/celerycove-daemon/src/lib.rs
@@ -1,1 +1,27 @@
-//! Pending.
+//! The daemon: roles, listeners, logs and metrics around the decision machines.
+//!
+//! Decisions are made in the plain crates; this one feeds them with sockets, clocks and disks.
+
+#![deny(missing_docs, rust_2018_idioms)]
+#![forbid(unsafe_code)]
+
+pub mod admin;
+pub mod control;
+pub mod entry;
+pub mod follow;
+pub mod home;
+pub mod http;
+pub mod internal;
+pub mod links;
+pub mod logging;
+pub mod metrics;
+pub mod operator;
+pub mod options;
+pub mod peer;
+pub mod process;
+pub mod run;
+pub mod secret;
+pub mod share;
+pub mod sidecar;
+
+pub use run::{Running, start};
--- /dev/null
+++ b/crates/celerycove-daemon/src/operator.rs
@@ -0,0 +1,281 @@
+//! The listener for operators.
+
+use std::sync::Arc;
+
+use celerycove_config::{Proposal, secret};
+use celerycove_control::{Answer, Command, placement::Assignment};
+use celerycove_program::{Request as ShardRequest, Response as ShardResponse, request::Account};
+use celerycove_sync::directory::Entry;
+use celerycove_types::id;
+use celerycove_wire::{header, method, operator};
+use hyper::{Request, Response, StatusCode, body::Incoming};
+use jsonrpsee::{RpcModule, server::RegisterMethodError, types::ErrorObjectOwned};
+
+use crate::{
+    control::Control,
+    http::{Body, Handler, answer},
+    internal::{Rpc, rpc_error},
+    peer::Peers,
+    process::Process,
+    share::Share,
+};
+
+/// What operators may ask of a control instance.
+pub struct Operators {
+    /// Names and digests of credentials.
+    credentials: Vec<(String, String)>,
+    rpc: Rpc,
+}
+
+/// The operator whose credential came with a request.
+#[derive(Debug, Clone)]
+struct Operator(String);
+
+struct Context {
+    process: Arc<Process>,
+    share: Arc<Share>,
+    control: Arc<Control>,
+    peers: Arc<Peers>,
+}
+
+impl Operators {
+    /// Creates the surface.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a method stands twice.
+    pub fn new(
+        credentials: Vec<(String, String)>,
+        process: Arc<Process>,
+        share: Arc<Share>,
+        control: Arc<Control>,
+        peers: Arc<Peers>,
+    ) -> Result<Arc<Self>, RegisterMethodError> {
+        let context = Context {
+            process,
+            share,
+            control,
+            peers,
+        };
+        let rpc = Rpc::new(methods(context)?);
+        Ok(Arc::new(Self { credentials, rpc }))
+    }
+
+    /// Finds the operator by the credential presented.
+    fn operator(&self, request: &Request<Incoming>) -> Option<Operator> {
+        let presented = request.headers().get(header::OPERATOR)?.to_str().ok()?;
+        let digest = secret::digest(presented);
+        // Every credential is compared, so that the time tells nothing.
+        self.credentials
+            .iter()
+            .fold(None, |found, (name, own)| {
+                let matches = secret::equal(&digest, own);
+                if matches { Some(name) } else { found }
+            })
+            .map(|name| Operator(name.clone()))
+    }
+}
+
+impl Handler for Operators {
+    async fn handle(self: Arc<Self>, mut request: Request<Incoming>) -> Response<Body> {
+        let Some(operator) = self.operator(&request) else {
+            return answer(
+                StatusCode::FORBIDDEN,
+                "text/plain",
+                "an operator's credential is required",
+            );
+        };
+        request.extensions_mut().insert(operator);
+        self.rpc.answer(request).await
+    }
+}
+
+impl Context {
+    fn not_leader(&self, leader: Option<&id::Process>) -> ErrorObjectOwned {
+        let name = leader.map_or_else(|| "unknown".to_owned(), ToString::to_string);
+        rpc_error(
+            operator::NOT_LEADER,
+            format!("this instance does not lead; the leader is {name}"),
+        )
+    }
+
+    fn outcome(&self, answer: Answer) -> Result<Answer, ErrorObjectOwned> {
+        match answer {
+            Answer::NotLeader(leader) => Err(self.not_leader(leader.as_ref())),
+            Answer::Unknown => Err(rpc_error(
+                operator::UNKNOWN,
+                "the instance stopped leading; resend with the same request id",
+            )),
+            Answer::Refused(reason) => Err(rpc_error(operator::REFUSED, reason)),
+            answer => Ok(answer),
+        }
+    }
+
+    /// Fails unless this instance surely leads, so that no old state is shown as new.
+    fn require_leader(&self) -> Result<(), ErrorObjectOwned> {
+        let summary = self.control.summary();
+        let fresh = self.share.is_fresh(self.process.now());
+        if summary.leads && fresh {
+            return Ok(());
+        }
+        Err(self.not_leader(summary.leader.as_ref().filter(|_| !summary.leads)))
+    }
+
+    fn status(&self) -> operator::Status {
+        let summary = self.control.summary();
+        let view = self.share.view();
+        let own = celerycove_sync::Announcement {
+            process: self.process.name.clone(),
+            incarnation: self.process.incarnation,
+            revision: 0,
+            data_centre: self.process.data_centre.clone(),
+            address: self.process.address(),
+            life: self.process.life(),
+            home: None,
+            learned: Vec::new(),
+            backend: None,
+            relay: false,
+        };
+        operator::Status {
+            leader: self.process.name.clone(),
+            term: summary.term,
+            members: summary.members.iter().cloned().collect(),
+            version: view.config.version,
+            spread: self.share.with_follower(|follower| follower.spread(&own)),
+            processes: view
+                .directory
+                .all()
+                .map(|(announcement, gone)| Entry {
+                    sequence: 0,
+                    announcement: announcement.clone(),
+                    gone,
+                })
+                .collect(),
+            shards: count(&view.placement.shards),
+        }
+    }
+
+    async fn programs(&self) -> Result<Vec<Account>, ErrorObjectOwned> {
+        let view = self.share.view().clone();
+        let mut accounts = Vec::new();
+        for (shard, assignment) in (0..).zip(&view.placement.shards) {
+            let Some(primary) = &assignment.primary else {
+                continue;
+            };
+            let request = method::Request {
+                shard,
+                request: ShardRequest::List,
+            };
+            let answered = self
+                .peers
+                .ask::<_, ShardResponse>(&primary.process, method::REQUEST, &request)
+                .await
+                .map_err(|error| rpc_error(operator::REFUSED, format!("shard {shard}: {error}")))?;
+            if let ShardResponse::Accounts(more) = answered {
+                accounts.extend(more);
+            }
+        }
+        Ok(accounts)
+    }
+
+    async fn order(&self, order: operator::Order) -> Result<id::Fence, ErrorObjectOwned> {
+        let sidecar = {
+            let view = self.share.view();
+            view.directory
+                .live()
+                .find(|a| {
+                    a.backend
+                        .as_ref()
+                        .is_some_and(|own| own.id == order.backend)
+                })
+                .map(|announcement| announcement.process.clone())
+        };
+        let sidecar =
+            sidecar.ok_or_else(|| rpc_error(operator::REFUSED, "the backend server is unknown"))?;
+        let answer = self.outcome(self.control.propose(Command::Fence).await)?;
+        let Answer::Fenced(fence) = answer else {
+            return Err(rpc_error(operator::REFUSED, "no fencing number was given"));
+        };
+        let order = method::Order {
+            backend: order.backend,
+            fence,
+            order: order.order,
+        };
+        self.peers
+            .ask::<_, ()>(&sidecar, method::ORDER, &order)
+            .await
+            .map_err(|error| rpc_error(operator::REFUSED, error_chain(&error)))?;
+        Ok(fence)
+    }
+
+    async fn member(&self, change: operator::Member) -> Result<(), ErrorObjectOwned> {
+        let mut members = self.control.summary().members.clone();
+        if change.add {
+            members.insert(change.process);
+        } else {
+            members.remove(&change.process);
+        }
+        self.outcome(self.control.propose(Command::Members(members)).await)?;
+        Ok(())
+    }
+}
+
+fn error_chain(error: &dyn std::error::Error) -> String {
+    match error.source() {
+        Some(source) => format!("{error}: {}", error_chain(source)),
+        None => error.to_string(),
+    }
+}
+
+fn count(shards: &[Assignment]) -> operator::Shards {
+    let mut counted = operator::Shards {
+        total: shards.len(),
+        ..operator::Shards::default()
+    };
+    for shard in shards {
+        counted.served += usize::from(shard.primary.is_some());
+        counted.learning += usize::from(!shard.learners.is_empty());
+        *counted.replicas.entry(shard.full().count()).or_default() += 1;
+    }
+    counted
+}
+
+fn methods(context: Context) -> Result<RpcModule<Context>, RegisterMethodError> {
+    let mut module = RpcModule::new(context);
+    module.register_async_method(
+        operator::PROPOSE,
+        |parameters, context, extensions| async move {
+            let mut proposal: Proposal = parameters.one()?;
+            let operator = extensions.get::<Operator>();
+            proposal.operator = operator.map_or_else(String::new, |operator| operator.0.clone());
+            let answer = context.control.propose(Command::Configure(proposal)).await;
+            match context.outcome(answer)? {
+                Answer::Configured(outcome) => Ok(outcome),
+                _ => Err(rpc_error(operator::REFUSED, "the proposal had no outcome")),
+            }
+        },
+    )?;
+    module.register_method(operator::CONFIG, |_, context, _| {
+        context.require_leader()?;
+        let age = context.share.age(context.process.now()).unwrap_or_default();
+        let config = context.share.view().config.as_ref().clone();
+        Ok::<_, ErrorObjectOwned>(operator::Current { config, age })
+    })?;
+    module.register_method(operator::STATUS, |_, context, _| {
+        context.require_leader()?;
+        Ok::<_, ErrorObjectOwned>(context.status())
+    })?;
+    module.register_async_method(operator::PROGRAMS, |_, context, _| async move {
+        context.require_leader()?;
+        context.programs().await
+    })?;
+    module.register_async_method(operator::ORDER, |parameters, context, _| async move {
+        let order: operator::Order = parameters.one()?;
+        context.order(order).await
+    })?;
+    module.register_async_method(operator::MEMBER, |parameters, context, _| async move {
+        let change: operator::Member = parameters.one()?;
+        context.member(change).await
+    })?;
+    Ok(module)
+}
--- a/crates/celerycove-disk/src/control.rs
+++ b/crates/celerycove-disk/src/control.rs
@@ -66,8 +66,7 @@
         let base = snapshot.as_ref().map_or(0, |snapshot| snapshot.index);
         let mut entries: Vec<Entry> = Vec::new();
         for payload in payloads {
-            let entry: Entry =
-                whole::decode(&self.log_path(), &payload).map_err(fault("load"))?;
+            let entry: Entry = whole::decode(&self.log_path(), &payload).map_err(fault("load"))?;
             if entry.index <= base {
                 continue;
             }
--- a/crates/celerycove-disk/src/journal.rs
+++ b/crates/celerycove-disk/src/journal.rs
@@ -50,6 +50,11 @@
         self.lines.push(Line::Drop(shard));
     }
 
+    /// Adds all of another batch.
+    pub fn extend(&mut self, other: Self) {
+        self.lines.extend(other.lines);
+    }
+
     /// Whether there is nothing to save.
     #[must_use]
     pub fn is_empty(&self) -> bool {
--- a/crates/celerycove-disk/src/records.rs
+++ b/crates/celerycove-disk/src/records.rs
@@ -128,7 +128,8 @@
         encode(payload.as_ref(), &mut buffer);
     }
     let mut file = File::create(&fresh).map_err(|e| io_error("create", &fresh, e))?;
-    file.write_all(&buffer).map_err(|e| io_error("write", &fresh, e))?;
+    file.write_all(&buffer)
+        .map_err(|e| io_error("write", &fresh, e))?;
     file.sync_all().map_err(|e| io_error("sync", &fresh, e))?;
     std::fs::rename(&fresh, path).map_err(|e| io_error("replace", path, e))?;
     sync_parent(path)?;
@@ -181,7 +182,9 @@
         return None;
     }
     let length = word(4)?;
-    let size = usize::try_from(length).ok().filter(|size| *size <= LONGEST)?;
+    let size = usize::try_from(length)
+        .ok()
+        .filter(|size| *size <= LONGEST)?;
     let payload = bytes.get(HEADER..HEADER.checked_add(size)?)?;
     (checksum(length, payload) == word(8)?).then_some(payload)
 }
--- a/crates/celerycove-limit/src/owner.rs
+++ b/crates/celerycove-limit/src/owner.rs
@@ -105,7 +105,9 @@
     /// Re-bases the bucket's times from one clock to another.
     #[must_use]
     pub fn rebased(mut self, from: Timestamp, to: Timestamp) -> Self {
-        let shift = |time: Timestamp| to.saturating_sub(from.saturating_sub(time)) + time.saturating_sub(from);
+        let shift = |time: Timestamp| {
+            to.saturating_sub(from.saturating_sub(time)) + time.saturating_sub(from)
+        };
         self.at = shift(self.at);
         for lent in self.lent.values_mut() {
             lent.until = shift(lent.until);
@@ -135,7 +137,12 @@
     }
 
     /// Takes buckets over from the owner before, who lends no more.
-    pub fn inherit(&mut self, now: Timestamp, sent: Timestamp, buckets: BTreeMap<id::Organisation, Bucket>) {
+    pub fn inherit(
+        &mut self,
+        now: Timestamp,
+        sent: Timestamp,
+        buckets: BTreeMap<id::Organisation, Bucket>,
+    ) {
         self.quiet_until = now;
         for (organisation, bucket) in buckets {
             self.buckets
@@ -229,10 +236,7 @@
 /// How long a loan lasts: so short that tokens asleep in one entry soon come back.
 fn loan_length(entitlement: Entitlement) -> Duration {
     let quarter = f64::from(entitlement.burst) / entitlement.rate / 4.0;
-    Duration::from_secs_f64(quarter.clamp(
-        SHORTEST_LOAN.as_secs_f64(),
-        LONGEST_LOAN.as_secs_f64(),
-    ))
+    Duration::from_secs_f64(quarter.clamp(SHORTEST_LOAN.as_secs_f64(), LONGEST_LOAN.as_secs_f64()))
 }
 
 fn refuse(bucket: &Bucket, now: Timestamp, entitlement: Entitlement) -> Loan {
--- a/crates/celerycove-limit/src/purse.rs
+++ b/crates/celerycove-limit/src/purse.rs
@@ -3,7 +3,10 @@
 use std::{
     sync::{
         Mutex, PoisonError,
-        atomic::{AtomicU32, AtomicU64, Ordering::{AcqRel, Acquire, Relaxed, Release}},
+        atomic::{
+            AtomicU32, AtomicU64,
+            Ordering::{AcqRel, Acquire, Relaxed, Release},
+        },
     },
     time::Duration,
 };
--- a/crates/celerycove-program/src/shard.rs
+++ b/crates/celerycove-program/src/shard.rs
@@ -43,8 +43,6 @@
     pub epoch: id::Epoch,
     /// Whether this replica is the primary.
     pub primary: bool,
-    /// Whether this replica is a backup or learner.
-    pub follows: bool,
     /// The backups.
     pub backups: Vec<id::Process>,
     /// The learners.
--- a/crates/celerycove-queue/src/fair.rs
+++ b/crates/celerycove-queue/src/fair.rs
@@ -99,8 +99,9 @@
             part.running = part.running.saturating_sub(1);
             part.served += (cost - job.cost) / f64::from(job.weight.max(1));
         }
-        self.parts
-            .retain(|_, part| part.running > 0 || !part.waiting.is_empty() || part.served > self.floor);
+        self.parts.retain(|_, part| {
+            part.running > 0 || !part.waiting.is_empty() || part.served > self.floor
+        });
     }
 
     /// Removes a request.
--- a/crates/celerycove-queue/src/queue.rs
+++ b/crates/celerycove-queue/src/queue.rs
@@ -237,9 +237,11 @@
             || format!("{:?} with {} waiting", self.gate, self.line.len()),
         )?;
         let slack = self.ramp.limit().saturating_sub(self.load().running);
-        Violation::unless(self.line.is_empty() || slack == 0, "work-conserving", || {
-            format!("{} waiting with {slack} free", self.line.len())
-        })
+        Violation::unless(
+            self.line.is_empty() || slack == 0,
+            "work-conserving",
+            || format!("{} waiting with {slack} free", self.line.len()),
+        )
     }
 
     fn arrive(&mut self, job: Job, actions: &mut Vec<Action>) {
@@ -304,7 +306,11 @@
 
     fn refuse_waiting(&mut self, refusal: Refusal, actions: &mut Vec<Action>) {
         let waiting = self.line.drain();
-        actions.extend(waiting.into_iter().map(|job| Action::Refuse(job.id, refusal)));
+        actions.extend(
+            waiting
+                .into_iter()
+                .map(|job| Action::Refuse(job.id, refusal)),
+        );
     }
 
     fn tick(&mut self, actions: &mut Vec<Action>) {
--- a/crates/celerycove-route/src/choose.rs
+++ b/crates/celerycove-route/src/choose.rs
@@ -184,6 +184,10 @@
         .iter()
         .take(1)
         .any(|local| local.data_centre == member.data_centre);
-    let way = if near { 0.0 } else { options.distance.as_secs_f64() };
+    let way = if near {
+        0.0
+    } else {
+        options.distance.as_secs_f64()
+    };
     wait + work + way
 }
--- a/crates/celerycove-route/src/pool.rs
+++ b/crates/celerycove-route/src/pool.rs
@@ -68,8 +68,8 @@
             };
             let at = &announcement.data_centre;
             let labels = target_labels(config, &own, &backend.id, at);
-            let closed = is_drained(config, &backend.id, at)
-                || admits(config, traffic, &labels).is_err();
+            let closed =
+                is_drained(config, &backend.id, at) || admits(config, traffic, &labels).is_err();
             if closed {
                 pool.forbidden = true;
                 continue;
--- a/crates/celerycove-settings/src/read.rs
+++ b/crates/celerycove-settings/src/read.rs
@@ -131,7 +131,11 @@
         self.decode(heading, properties)
     }
 
-    fn named<T: for<'de> Deserialize<'de>>(&mut self, ini: &Ini, kind: &str) -> BTreeMap<String, T> {
+    fn named<T: for<'de> Deserialize<'de>>(
+        &mut self,
+        ini: &Ini,
+        kind: &str,
+    ) -> BTreeMap<String, T> {
         let mut all = BTreeMap::new();
         for (heading, properties) in ini {
             let Some((found, name)) = heading.and_then(|heading| heading.split_once(' ')) else {
@@ -184,13 +188,20 @@
 
     fn check(&mut self, settings: &Settings) {
         let process = &settings.process;
-        for (key, name) in [("name", &process.name), ("data-centre", &process.data_centre)] {
+        for (key, name) in [
+            ("name", &process.name),
+            ("data-centre", &process.data_centre),
+        ] {
             if !label::is_valid(name) {
                 self.fault("process", key, "letters, digits and -_./: are allowed");
             }
         }
         if process.control.is_empty() {
-            self.fault("process", "control", "at least one control instance is needed");
+            self.fault(
+                "process",
+                "control",
+                "at least one control instance is needed",
+            );
         }
         if process.freshness.0 <= process.pull.0 * 2 {
             self.fault("process", "freshness", "must be more than twice pull");
@@ -220,7 +231,11 @@
                 self.fault("control", "replicas", "must be between 1 and 7");
             }
             if control.election.0 < control.heartbeat.0 * 3 {
-                self.fault("control", "election", "must be at least three times heartbeat");
+                self.fault(
+                    "control",
+                    "election",
+                    "must be at least three times heartbeat",
+                );
             }
         }
     }
--- a/crates/celerycove-settings/src/unit.rs
+++ b/crates/celerycove-settings/src/unit.rs
@@ -23,7 +23,12 @@
     Span(String),
 }
 
-const UNITS: [(&str, usize); 4] = [("KiB", 1 << 10), ("MiB", 1 << 20), ("GiB", 1 << 30), ("B", 1)];
+const UNITS: [(&str, usize); 4] = [
+    ("KiB", 1 << 10),
+    ("MiB", 1 << 20),
+    ("GiB", 1 << 30),
+    ("B", 1),
+];
 
 impl FromStr for Bytes {
     type Err = Error;
--- a/crates/celerycove-sync/src/announce.rs
+++ b/crates/celerycove-sync/src/announce.rs
@@ -97,8 +97,15 @@
     #[must_use]
     pub fn with(self, other: Self) -> Self {
         let processes = self.processes + other.processes;
-        let slower = if other.oldest < self.oldest { other } else { self };
-        Self { processes, ..slower }
+        let slower = if other.oldest < self.oldest {
+            other
+        } else {
+            self
+        };
+        Self {
+            processes,
+            ..slower
+        }
     }
 }
 
--- a/crates/celerycove-sync/src/directory.rs
+++ b/crates/celerycove-sync/src/directory.rs
@@ -79,9 +79,8 @@
             via: Some(via.clone()),
         };
         self.heard.insert(announcement.process.clone(), heard);
-        let fresh = known.is_none_or(|entry| {
-            entry.gone || announcement.is_newer(&entry.announcement)
-        });
+        let fresh =
+            known.is_none_or(|entry| entry.gone || announcement.is_newer(&entry.announcement));
         if fresh {
             self.put(announcement.clone(), false);
         }
@@ -215,8 +214,8 @@
     /// Tells whether a process is known to be gone or to have restarted since `incarnation`.
     #[must_use]
     pub fn is_over(&self, process: &id::Process, incarnation: id::Incarnation) -> bool {
-        self.entries.get(process).is_some_and(|entry| {
-            entry.gone || entry.announcement.incarnation > incarnation
-        })
+        self.entries
+            .get(process)
+            .is_some_and(|entry| entry.gone || entry.announcement.incarnation > incarnation)
     }
 }
--- a/crates/celerycove-sync/src/follower.rs
+++ b/crates/celerycove-sync/src/follower.rs
@@ -135,7 +135,13 @@
     pub fn serve(&mut self, now: Timestamp, pull: &Pull) -> Option<Reply> {
         self.note(now, pull);
         let age = self.freshness.age(now)?;
-        Some(answer(pull, &self.feed, &self.placement, &self.directory, age))
+        Some(answer(
+            pull,
+            &self.feed,
+            &self.placement,
+            &self.directory,
+            age,
+        ))
     }
 
     /// Takes over what a control instance in the same process has applied.
--- a/crates/celerycove-sync/src/freshness.rs
+++ b/crates/celerycove-sync/src/freshness.rs
@@ -32,10 +32,17 @@
         }
     }
 
+    /// When the configuration was surely the newest.
+    #[must_use]
+    pub fn confirmed(&self) -> Option<Timestamp> {
+        self.confirmed
+    }
+
     /// How long ago the configuration was surely the newest.
     #[must_use]
     pub fn age(&self, now: Timestamp) -> Option<Duration> {
-        self.confirmed.map(|confirmed| now.saturating_sub(confirmed))
+        self.confirmed
+            .map(|confirmed| now.saturating_sub(confirmed))
     }
 
     /// Whether new work may start.
--- a/crates/celerycove-sync/src/relay.rs
+++ b/crates/celerycove-sync/src/relay.rs
@@ -25,7 +25,11 @@
 
 /// From whom `me` pulls, best first; none means from control.
 #[must_use]
-pub fn upstream(directory: &Directory, me: &id::Process, data_centre: &id::DataCentre) -> Vec<id::Process> {
+pub fn upstream(
+    directory: &Directory,
+    me: &id::Process,
+    data_centre: &id::DataCentre,
+) -> Vec<id::Process> {
     let mut relays = relays(directory, data_centre);
     if relays.contains(me) {
         return Vec::new();
--- a/crates/celerycove-types/src/lib.rs
+++ b/crates/celerycove-types/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod id;
 pub mod label;
 pub mod map;
+pub mod order;
 pub mod violation;
 
 pub use label::{Labels, Requirements};
