fix: let a refused append say where the logs may agree

Cause: the leader sends entries ahead of answers, so after a refusal it went back from a position that it had advanced itself, and asked for the same mismatch for ever. Ruled out: elections and pre-votes, since all instances named the same leader. Conclusion: a refusal carries the position before the one refused.

--- a/crates/celerycove-control/src/message.rs
+++ b/crates/celerycove-control/src/message.rs
@@ -63,7 +63,7 @@
     AppendReply {
         /// The position up to which the logs agree, or `None` if the previous entry did not match.
         matched: Option<Index>,
-        /// The last position of the follower's log, from where to try next.
+        /// The last position where the logs may agree, after which to try next.
         last_index: Index,
         /// The round answered.
         round: Round,
--- a/crates/celerycove-control/src/node.rs
+++ b/crates/celerycove-control/src/node.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     core::Core,
-    log::{Command, Index, Members, Term},
+    log::{Command, Entry, Index, Members, Term},
     message::{Body, Message},
     role::{self, Input},
     state::State,
@@ -208,6 +208,13 @@
         self.machine.commit
     }
 
+    /// The committed entries in memory after a position.
+    pub fn committed_after(&self, index: Index) -> impl Iterator<Item = &Entry> {
+        let commit = self.machine.commit;
+        let entries = self.machine.log.iter();
+        entries.filter(move |entry| entry.index > index && entry.index <= commit)
+    }
+
     /// The instances that agree on the log.
     #[must_use]
     pub fn members(&self) -> &Members {
--- a/crates/celerycove-control/src/replicate.rs
+++ b/crates/celerycove-control/src/replicate.rs
@@ -170,8 +170,9 @@
             progress.matched = progress.matched.max(matched);
             progress.next = progress.next.max(matched + 1);
         } else {
-            let back = progress.next.saturating_sub(1).min(last_index + 1);
-            progress.next = back.max(progress.matched + 1).min(next_index);
+            // What was sent ahead since is refused too, so the answer alone says where to go on.
+            let back = (last_index + 1).max(progress.matched + 1);
+            progress.next = back.min(progress.next).min(next_index);
         }
         let more = progress.next < next_index;
         self.confirm_round();
@@ -234,7 +235,8 @@
         let agrees =
             previous < self.log.base() || self.log.term_at(previous) == Some(previous_term);
         if !agrees {
-            self.reply(from, None, round);
+            let before = previous.saturating_sub(1).min(self.log.last_index());
+            self.reply(from, None, before, round);
             return;
         }
         let fresh = entries.iter().position(|entry| {
@@ -246,7 +248,7 @@
         let matched = previous + entries.len() as Index;
         self.commit_to(commit.min(matched));
         self.become_voter(commit);
-        self.reply(from, Some(matched), round);
+        self.reply(from, Some(matched), matched, round);
     }
 
     pub(crate) fn take_snapshot(&mut self, from: &id::Process, snapshot: Snapshot, round: Round) {
@@ -255,7 +257,7 @@
         self.install(snapshot);
         self.become_voter(index);
         let matched = self.commit.max(index);
-        self.reply(from, Some(matched), round);
+        self.reply(from, Some(matched), matched, round);
     }
 
     fn follow(&mut self, leader: &id::Process) {
@@ -278,8 +280,7 @@
         self.save_ballot(ballot);
     }
 
-    fn reply(&mut self, to: &id::Process, matched: Option<Index>, round: Round) {
-        let last_index = self.log.last_index();
+    fn reply(&mut self, to: &id::Process, matched: Option<Index>, last_index: Index, round: Round) {
         self.send(
             to,
             Body::AppendReply {
--- /dev/null
+++ b/crates/celerycove-proof/src/world.rs
@@ -0,0 +1,6 @@
+//! The kinds of runs.
+
+pub mod control;
+pub mod limit;
+pub mod program;
+pub mod queue;
