--- a/crates/celerycove-control/src/placement.rs
+++ b/crates/celerycove-control/src/placement.rs
@@ -27,6 +27,9 @@
     pub origin: id::Epoch,
     /// Who serves.
     pub primary: Option<Replica>,
+    /// The life of the process that may serve: a process that restarted on its disk may have sent
+    /// records that the disk does not hold, so it needs another epoch before it serves again.
+    pub life: id::Incarnation,
     /// Who must acknowledge each append.
     pub backups: Vec<Replica>,
     /// Who is being brought up to date.
--- a/crates/celerycove-control/src/placement/plan.rs
+++ b/crates/celerycove-control/src/placement/plan.rs
@@ -6,13 +6,20 @@
 
 use super::{Assignment, Change, Placement, Replica, stable_hash};
 
+/// A shard with fewer live replicas waits for a learner before it goes on.
+const FEWEST: usize = 2;
+
 /// A process that may hold shards.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Candidate {
     /// The life of its state.
     pub incarnation: id::Incarnation,
+    /// The life of the process.
+    pub life: id::Incarnation,
     /// Where it runs.
     pub data_centre: id::DataCentre,
+    /// Whether it has not been heard of for so long that it counts as failed.
+    pub silent: bool,
     /// Whether it is leaving and takes no more.
     pub leaving: bool,
     /// Shards and epochs in which its learners are up to date.
@@ -93,12 +100,15 @@
         if !self.is_live(primary) {
             self.promote(&mut next)?;
         }
-        self.drop_dead(&mut next);
+        self.drop_gone(&mut next);
+        self.drop_silent(&mut next);
         self.admit_learned(shard, current, &mut next);
         self.hand_over(&mut next);
         self.retire_leaving(&mut next);
         self.add_learner(shard, &mut next);
-        let changed = next.primary != current.primary
+        next.life = self.life_of(&next);
+        let changed = next.life != current.life
+            || next.primary != current.primary
             || next.backups != current.backups
             || next.learners != current.learners;
         changed.then_some(next)
@@ -120,26 +130,54 @@
                 Some(_) => next.backups.push(replica),
             }
         }
+        next.life = self.life_of(&next);
         next.primary.is_some().then_some(next)
     }
 
-    /// Makes a live backup the primary; without one, the shard waits for a replica to return.
+    /// The life of the primary's process, as far as it is known.
+    fn life_of(&self, next: &Assignment) -> id::Incarnation {
+        next.primary
+            .as_ref()
+            .and_then(|primary| self.candidates.get(&primary.process))
+            .map_or(next.life, |candidate| candidate.life)
+    }
+
+    /// Makes a live backup the primary; without one, the shard waits for a replica to return. The
+    /// old primary becomes a backup: it may still be needed.
     fn promote(&self, next: &mut Assignment) -> Option<()> {
-        let heir = next
-            .backups
-            .iter()
-            .position(|backup| self.is_live(backup))?;
-        next.primary = Some(next.backups.remove(heir));
+        let heir = next.backups.iter().position(|backup| self.is_live(backup))?;
+        let heir = next.backups.remove(heir);
+        next.backups.extend(next.primary.replace(heir));
         Some(())
     }
 
-    fn drop_dead(&mut self, next: &mut Assignment) {
-        next.backups.retain(|backup| self.is_live(backup));
+    /// Drops the replicas whose state is known to be lost.
+    fn drop_gone(&mut self, next: &mut Assignment) {
+        next.backups.retain(|backup| !self.is_gone(backup));
         let before = next.learners.len();
         next.learners.retain(|learner| self.is_live(learner));
         self.learning -= before - next.learners.len();
     }
 
+    /// Drops silent backups, but not the last that others could replace: a shard would rather wait
+    /// for its learner than go on with a single replica, whose loss would be for good. Others that
+    /// are silent too count, for then it may be this instance that is cut off.
+    fn drop_silent(&self, next: &mut Assignment) {
+        let live = next.full().filter(|replica| self.is_live(replica)).count();
+        let others = self.candidates.keys().any(|process| !next.involves(process));
+        let replaceable = others || !next.learners.is_empty();
+        let floor = if replaceable { FEWEST.min(self.options.replicas) } else { 1 };
+        let mut kept = floor.saturating_sub(live);
+        next.backups.retain(|backup| {
+            if self.is_live(backup) {
+                return true;
+            }
+            let keep = kept > 0;
+            kept = kept.saturating_sub(1);
+            keep
+        });
+    }
+
     /// Turns learners into backups once the primary of this epoch has brought them up to date.
     fn admit_learned(&mut self, shard: id::Shard, current: &Assignment, next: &mut Assignment) {
         if next.primary != current.primary {
@@ -172,7 +210,7 @@
         let stays = self
             .candidates
             .values()
-            .filter(|candidate| !candidate.leaving)
+            .filter(|candidate| !candidate.leaving && !candidate.silent)
             .count();
         let wanted = self.options.replicas.min(stays);
         let staying = next.full().filter(|r| !self.is_leaving(r)).count();
@@ -182,7 +220,10 @@
     }
 
     fn add_learner(&mut self, shard: id::Shard, next: &mut Assignment) {
-        let staying = next.all().filter(|r| !self.is_leaving(r)).count();
+        let staying = next
+            .all()
+            .filter(|replica| self.is_live(replica) && !self.is_leaving(replica))
+            .count();
         if staying >= self.options.replicas || self.learning >= self.options.learning {
             return;
         }
@@ -192,36 +233,41 @@
         }
     }
 
-    /// Chooses in a data centre not used yet if possible, then by load, then by rendezvous hash.
+    /// Takes the best process for one more replica.
     fn choose(&mut self, shard: id::Shard, next: &Assignment) -> Option<Replica> {
+        let replica = self.best(shard, next)?;
+        *self.load.entry(replica.process.clone()).or_default() += 1;
+        Some(replica)
+    }
+
+    /// The best is in a data centre not used yet if possible, then has least, then is first by
+    /// rendezvous hash.
+    fn best(&self, shard: id::Shard, next: &Assignment) -> Option<Replica> {
         let used: Vec<&id::DataCentre> = next
             .all()
             .filter_map(|replica| self.candidates.get(&replica.process))
             .map(|candidate| &candidate.data_centre)
             .collect();
-        let (process, candidate) = self
-            .candidates
+        self.candidates
             .iter()
-            .filter(|(process, candidate)| !candidate.leaving && !next.involves(process))
+            .filter(|(process, candidate)| {
+                !candidate.leaving && !candidate.silent && !next.involves(process)
+            })
             .min_by_key(|(process, candidate)| {
-                let shared = used
-                    .iter()
-                    .filter(|dc| **dc == &candidate.data_centre)
-                    .count();
+                let shared = used.iter().filter(|dc| **dc == &candidate.data_centre).count();
                 let load = self.load.get(*process).copied().unwrap_or_default();
                 (shared, load, stable_hash(&format!("{shard}/{process}")))
-            })?;
-        *self.load.entry(process.clone()).or_default() += 1;
-        Some(Replica {
-            process: process.clone(),
-            incarnation: candidate.incarnation,
-        })
+            })
+            .map(|(process, candidate)| Replica {
+                process: process.clone(),
+                incarnation: candidate.incarnation,
+            })
     }
 
     fn is_live(&self, replica: &Replica) -> bool {
         self.candidates
             .get(&replica.process)
-            .is_some_and(|candidate| candidate.incarnation == replica.incarnation)
+            .is_some_and(|c| c.incarnation == replica.incarnation && !c.silent)
     }
 
     /// Tells whether the process runs again without the state that the replica had.
--- a/crates/celerycove-daemon/src/control/lead.rs
+++ b/crates/celerycove-daemon/src/control/lead.rs
@@ -117,11 +117,13 @@
 
 fn candidates(directory: &Directory) -> Candidates {
     directory
-        .live()
-        .filter_map(|announcement| {
+        .all()
+        .filter_map(|(announcement, gone)| {
             let candidate = Candidate {
                 incarnation: announcement.home?,
+                life: announcement.incarnation,
                 data_centre: announcement.data_centre.clone(),
+                silent: gone,
                 leaving: announcement.life == Life::Leaving,
                 learned: announcement.learned.clone(),
             };
--- a/crates/celerycove-daemon/src/home.rs
+++ b/crates/celerycove-daemon/src/home.rs
@@ -345,7 +345,7 @@
         if !new {
             return;
         }
-        let assignment = assignment(placed, &self.process.name);
+        let assignment = assignment(placed, &self.process.name, self.process.incarnation);
         let primary = assignment.primary;
         self.limits.assign(id, placed, primary, &self.peers);
         self.step(id, Event::Assign(assignment));
@@ -357,7 +357,7 @@
             return;
         }
         self.limits.assign(id, placed, false, &self.peers);
-        self.step(id, Event::Assign(assignment(placed, &self.process.name)));
+        self.step(id, Event::Assign(assignment(placed, &self.process.name, self.process.incarnation)));
         self.shards.remove(&id);
         self.batch.drop_shard(id);
     }
@@ -406,11 +406,11 @@
     }
 }
 
-fn assignment(placed: &Placed, me: &id::Process) -> Assignment {
+fn assignment(placed: &Placed, me: &id::Process, life: id::Incarnation) -> Assignment {
     let names = |replicas: &[celerycove_control::placement::Replica]| {
         replicas.iter().map(|r| r.process.clone()).collect()
     };
-    let primary = placed.primary.as_ref().is_some_and(|r| r.process == *me);
+    let primary = placed.primary.as_ref().is_some_and(|r| r.process == *me) && placed.life == life;
     Assignment {
         epoch: placed.epoch,
         primary,
--- a/crates/celerycove-program/src/judge.rs
+++ b/crates/celerycove-program/src/judge.rs
@@ -1,18 +1,46 @@
 //! Judges requests against the state: what to answer and which step to take first.
 
-use std::time::Duration;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use celerycove_types::id;
 
 use crate::{
     op::{CallName, Ending, Op, Retention},
     request::{Account, Grant, Refusal, Request, Response},
-    state::{Chain, Program, Reply, State, Status},
+    state::{Chain, Dispatch, Pending, Program, Reply, State, Status},
 };
 
-/// The step to take, if any, and the answer to give once all replicas hold it.
+/// The step to take, if the state changes, and the answer to give once all replicas hold it.
 pub type Verdict = (Option<Op>, Response);
 
+/// A call under way.
+pub(crate) struct UnderWay<'a> {
+    pub(crate) request: &'a id::Request,
+    pub(crate) dispatcher: &'a id::Process,
+    pub(crate) since: Duration,
+}
+
+impl<'a> UnderWay<'a> {
+    fn call(pending: &'a Pending) -> Self {
+        Self {
+            request: &pending.request,
+            dispatcher: &pending.entry,
+            since: pending.since,
+        }
+    }
+
+    fn service(dispatch: &'a Dispatch) -> Self {
+        Self {
+            request: &dispatch.request,
+            dispatcher: &dispatch.entry,
+            since: dispatch.touched,
+        }
+    }
+}
+
 impl State {
     /// Judges a request; the state is left alone.
     #[must_use]
@@ -86,7 +114,7 @@
         deadline: Option<Duration>,
     ) -> Result<Verdict, Refusal> {
         if let Some(found) = self.programs.get(program) {
-            let resent = found.organisation == *organisation && found.chains.is_empty();
+            let resent = found.organisation == *organisation && found.budget == budget;
             return if resent {
                 Ok((None, Response::Done))
             } else {
@@ -211,7 +239,7 @@
     #[must_use]
     pub fn overdue(&self, retention: Retention) -> Vec<Op> {
         let due = |since: Duration, keep: Duration| since + keep <= self.at;
-        let mut ops = self.unresolved(|since, _| due(since, retention.pending));
+        let mut ops = self.unresolved(|call| due(call.since, retention.pending));
         let programs: Vec<id::Program> = self
             .programs
             .iter()
@@ -237,20 +265,15 @@
         ops
     }
 
-    /// Gives the steps that end as unknown the calls which a lost process had dispatched.
-    #[must_use]
-    pub fn orphaned(&self, entry: &id::Process) -> Vec<Op> {
-        self.unresolved(|_, by| by == entry)
-    }
-
-    fn unresolved(&self, matches: impl Fn(Duration, &id::Process) -> bool) -> Vec<Op> {
+    /// Gives the steps that end as unknown the calls under way which match.
+    pub(crate) fn unresolved(&self, matches: impl Fn(UnderWay<'_>) -> bool) -> Vec<Op> {
         let mut ops = Vec::new();
         for (id, program) in &self.programs {
             for (agent, chain) in &program.chains {
                 let Some(pending) = chain.pending.as_ref().filter(|p| p.live) else {
                     continue;
                 };
-                if matches(pending.since, &pending.entry) {
+                if matches(UnderWay::call(pending)) {
                     ops.push(Op::Settle {
                         name: CallName {
                             program: id.clone(),
@@ -264,7 +287,7 @@
             }
         }
         for (key, dispatch) in &self.dispatches {
-            if dispatch.reply == Reply::Pending && matches(dispatch.touched, &dispatch.entry) {
+            if dispatch.reply == Reply::Pending && matches(UnderWay::service(dispatch)) {
                 ops.push(Op::Conclude {
                     key: key.clone(),
                     attempt: dispatch.attempt,
@@ -274,6 +297,40 @@
         }
         ops
     }
+
+    /// All calls under way.
+    fn all_under_way(&self) -> impl Iterator<Item = UnderWay<'_>> {
+        let calls = self
+            .programs
+            .values()
+            .flat_map(|program| program.chains.values())
+            .filter_map(|chain| chain.pending.as_ref().filter(|p| p.live))
+            .map(UnderWay::call);
+        let services = self
+            .dispatches
+            .values()
+            .filter(|dispatch| dispatch.reply == Reply::Pending)
+            .map(UnderWay::service);
+        calls.chain(services)
+    }
+
+    /// The processes that have calls under way.
+    #[must_use]
+    pub fn dispatchers(&self) -> BTreeSet<id::Process> {
+        self.all_under_way()
+            .map(|call| call.dispatcher.clone())
+            .collect()
+    }
+
+    /// The requests under way since a shard time or longer, by the process that dispatched them.
+    pub(crate) fn under_way(&self, since: Duration) -> BTreeMap<id::Process, Vec<id::Request>> {
+        let mut requests: BTreeMap<id::Process, Vec<id::Request>> = BTreeMap::new();
+        for call in self.all_under_way().filter(|call| call.since <= since) {
+            let of = requests.entry(call.dispatcher.clone()).or_default();
+            of.push(call.request.clone());
+        }
+        requests
+    }
 }
 
 /// Answers a call that was completed before, and refuses one that is out of order.
--- a/crates/celerycove-program/src/message.rs
+++ b/crates/celerycove-program/src/message.rs
@@ -17,6 +17,9 @@
     pub sequence: u64,
 }
 
+/// Counts the rounds in which a primary asks whether it still is one.
+pub type Round = u64;
+
 /// A step and where it stands.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Record {
@@ -51,8 +54,8 @@
 /// What a message says.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Body {
-    /// The primary asks what a replica holds.
-    Probe,
+    /// The primary asks what a replica holds, in a round.
+    Probe(Round),
     /// The primary sends records after `previous`.
     Append {
         /// The record before the first.
@@ -63,7 +66,12 @@
     /// The primary sends everything.
     Install(Box<Image>),
     /// A replica tells the last record that it holds.
-    Held(Position),
+    Held {
+        /// The record.
+        last: Position,
+        /// The latest round in which it was asked.
+        round: Round,
+    },
     /// A replica knows a later epoch, that of the message.
     Stale,
 }
--- a/crates/celerycove-program/src/primary.rs
+++ b/crates/celerycove-program/src/primary.rs
@@ -8,7 +8,7 @@
 use celerycove_types::{Timestamp, id};
 
 use crate::{
-    message::{Body, Position, Record},
+    message::{Body, Position, Record, Round},
     op::Op,
     request::{Request, Response},
     shard::{Action, Assignment, Shard, Token},
@@ -17,6 +17,11 @@
 /// How often a primary looks for what is overdue.
 const HOUSEKEEPING: Duration = Duration::from_secs(1);
 
+/// The round that begins with an epoch.
+const FIRST_ROUND: Round = 1;
+/// How many responses wait before more requests are turned away.
+const MOST_WAITING: usize = 8192;
+
 /// What a primary knows of another replica.
 #[derive(Debug, Clone)]
 pub(crate) struct Peer {
@@ -26,17 +31,41 @@
     asked: Timestamp,
     /// Whether it was asked what it holds and is sent what it lacks when it answers.
     probing: bool,
+    /// The latest round that it has answered.
+    round: Round,
     learner: bool,
 }
 
+/// A response that waits until the replicas hold a record and have answered a round.
+#[derive(Debug)]
+struct Waiting {
+    position: Position,
+    round: Round,
+    token: Token,
+    response: Response,
+}
+
 /// What only the primary has.
 #[derive(Debug)]
 pub(crate) struct Leading {
     pub(crate) peers: BTreeMap<id::Process, Peer>,
-    waiting: VecDeque<(Position, Token, Response)>,
+    waiting: VecDeque<Waiting>,
+    /// The latest round asked, and the latest that a response waits for.
+    round: Round,
+    wanted: Round,
     reported: bool,
 }
 
+impl Leading {
+    /// The replicas without whose answer nothing is acknowledged.
+    fn required(&self) -> impl Iterator<Item = &Peer> {
+        let reported = self.reported;
+        self.peers
+            .values()
+            .filter(move |peer| !peer.learner || reported)
+    }
+}
+
 impl Shard {
     pub(crate) fn lead(&mut self, assignment: Assignment) {
         // Requests of the epoch before go on waiting: their records are replicated again.
@@ -51,17 +80,27 @@
             held: None,
             asked: now,
             probing: true,
+            round: 0,
             learner,
         };
         let backups = assignment.backups.into_iter().map(|id| (id, peer(false)));
         let learners = assignment.learners.into_iter().map(|id| (id, peer(true)));
         let peers: BTreeMap<id::Process, Peer> = backups.chain(learners).collect();
         for id in peers.keys() {
-            self.send(id, Body::Probe);
+            self.send(id, Body::Probe(FIRST_ROUND));
         }
         self.leading = Some(Leading {
             peers,
-            waiting,
+            // The rounds of the epoch before count no more.
+            waiting: waiting
+                .into_iter()
+                .map(|waiting: Waiting| Waiting {
+                    round: waiting.round.min(FIRST_ROUND),
+                    ..waiting
+                })
+                .collect(),
+            round: FIRST_ROUND,
+            wanted: FIRST_ROUND,
             reported: false,
         });
         self.respond_ready();
@@ -71,9 +110,9 @@
         let Some(leading) = self.leading.take() else {
             return;
         };
-        for (_, token, _) in leading.waiting {
+        for waiting in leading.waiting {
             self.actions.push(Action::Respond {
-                token,
+                token: waiting.token,
                 response: Response::NotPrimary,
             });
         }
@@ -85,25 +124,80 @@
             self.actions.push(Action::Respond { token, response });
             return;
         }
+        if self.leading.as_ref().is_some_and(|l| l.waiting.len() >= MOST_WAITING) {
+            let response = Response::NotPrimary;
+            self.actions.push(Action::Respond { token, response });
+            return;
+        }
         let (op, response) = self.state.judge(request);
-        if let Some(op) = op {
-            self.release_ended(&op);
-            self.commit(vec![op]);
+        // A step is confirmed by its record, anything else by a round that begins now or later.
+        let mut round = 0;
+        match op {
+            Some(op) => {
+                self.release_ended(&op);
+                self.commit(vec![op]);
+            }
+            None => round = self.next_round(),
         }
         let position = self.last;
         if let Some(leading) = &mut self.leading {
-            leading.waiting.push_back((position, token, response));
+            leading.waiting.push_back(Waiting {
+                position,
+                round,
+                token,
+                response,
+            });
         }
         self.respond_ready();
     }
 
-    pub(crate) fn end_orphans(&mut self, process: &id::Process) {
+    /// Gives the first round that begins from now on; one round at a time is under way.
+    fn next_round(&mut self) -> Round {
+        let Some(leading) = &mut self.leading else {
+            return 0;
+        };
+        leading.wanted = leading.round + 1;
+        let wanted = leading.wanted;
+        self.begin_round();
+        wanted
+    }
+
+    /// Begins the round that is waited for, once all have answered the one before.
+    fn begin_round(&mut self) {
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        let answered = leading.required().all(|peer| peer.round >= leading.round);
+        if leading.wanted <= leading.round || !answered {
+            return;
+        }
+        leading.round = leading.wanted;
+        let round = leading.round;
+        let peers: Vec<id::Process> = leading.peers.keys().cloned().collect();
+        for peer in peers {
+            self.send(&peer, Body::Probe(round));
+        }
+    }
+
+    pub(crate) fn end_lost(&mut self, is_lost: impl Fn(&id::Request, &id::Process) -> bool) {
         if self.leading.is_some() {
-            let ops = self.state.orphaned(process);
+            let ops = self.state.unresolved(|call| is_lost(call.request, call.dispatcher));
             self.commit(ops);
         }
     }
 
+    /// Asks about calls that have been under way for long: their question may have come so late
+    /// that nobody waits for the leave given.
+    fn confirm(&mut self) {
+        let since = self.state.at.saturating_sub(self.options.confirm);
+        for (dispatcher, requests) in self.state.under_way(since) {
+            self.actions.push(Action::Confirm {
+                dispatcher,
+                requests,
+            });
+        }
+    }
+
     fn release_ended(&mut self, op: &Op) {
         let Op::End { program } = op else {
             return;
@@ -157,7 +251,7 @@
         }
     }
 
-    pub(crate) fn note_held(&mut self, from: &id::Process, position: Position) {
+    pub(crate) fn note_held(&mut self, from: &id::Process, position: Position, round: Round) {
         let known = self.knows(position);
         let last = self.last;
         let now = self.now;
@@ -167,6 +261,7 @@
         let Some(peer) = leading.peers.get_mut(from) else {
             return;
         };
+        peer.round = peer.round.max(round);
         if known {
             peer.held = peer.held.max(Some(position));
         }
@@ -179,6 +274,7 @@
             }
         }
         self.report_learned();
+        self.begin_round();
         self.respond_ready();
     }
 
@@ -239,25 +335,31 @@
         let Some(leading) = &mut self.leading else {
             return;
         };
-        let reported = leading.reported;
         let held = leading
-            .peers
-            .values()
-            .filter(|peer| !peer.learner || reported)
+            .required()
             .map(|peer| peer.held.unwrap_or_default())
             .chain([synced])
             .min()
             .unwrap_or_default();
+        let round = leading
+            .required()
+            .map(|peer| peer.round)
+            .min()
+            .unwrap_or(Round::MAX);
         // A peer that has not answered in this epoch may hold what the primary must replace.
         let settled = leading
             .peers
             .values()
             .all(|peer| peer.learner || peer.held.is_some());
         while settled
-            && let Some((position, _, _)) = leading.waiting.front()
-            && *position <= held
+            && let Some(first) = leading.waiting.front()
+            && first.position <= held
+            && first.round <= round
         {
-            if let Some((_, token, response)) = leading.waiting.pop_front() {
+            if let Some(Waiting {
+                token, response, ..
+            }) = leading.waiting.pop_front()
+            {
                 self.actions.push(Action::Respond { token, response });
             }
         }
@@ -272,6 +374,10 @@
             let ops = self.state.overdue(self.options.retention);
             self.commit(ops);
         }
+        if self.now >= self.confirm_due {
+            self.confirm_due = self.now + self.options.confirm;
+            self.confirm();
+        }
         let (now, last) = (self.now, self.last);
         let resend = self.options.resend;
         let Some(leading) = &mut self.leading else {
@@ -279,14 +385,16 @@
         };
         let mut silent = Vec::new();
         for (id, peer) in &mut leading.peers {
-            if peer.held != Some(last) && now >= peer.asked + resend {
+            let behind = peer.held != Some(last) || peer.round < leading.round;
+            if behind && now >= peer.asked + resend {
                 peer.asked = now;
                 peer.probing = true;
                 silent.push(id.clone());
             }
         }
+        let round = leading.round;
         for id in silent {
-            self.send(&id, Body::Probe);
+            self.send(&id, Body::Probe(round));
         }
     }
 }
--- a/crates/celerycove-program/src/replica.rs
+++ b/crates/celerycove-program/src/replica.rs
@@ -3,7 +3,7 @@
 use celerycove_types::id;
 
 use crate::{
-    message::{Body, Image, Position, Record},
+    message::{Body, Image, Position, Record, Round},
     shard::{Action, Shard},
 };
 
@@ -11,11 +11,12 @@
 const RECENT_RECORDS: usize = 512;
 
 impl Shard {
-    pub(crate) fn answer_probe(&mut self, from: &id::Process) {
+    pub(crate) fn answer_probe(&mut self, from: &id::Process, round: Round) {
         if self.leading.is_some() {
             return;
         }
         self.following = Some(from.clone());
+        self.asked = self.asked.max(round);
         self.tell_held();
     }
 
@@ -75,7 +76,8 @@
             return;
         }
         if let Some(primary) = self.following.clone() {
-            self.send(&primary, Body::Held(self.last));
+            let (last, round) = (self.last, self.asked);
+            self.send(&primary, Body::Held { last, round });
         }
     }
 
--- a/crates/celerycove-program/src/shard.rs
+++ b/crates/celerycove-program/src/shard.rs
@@ -5,7 +5,7 @@
 use celerycove_types::{Timestamp, id};
 
 use crate::{
-    message::{Body, Image, Message, Position, Record},
+    message::{Body, Image, Message, Position, Record, Round},
     op::Retention,
     primary::Leading,
     request::{Request, Response},
@@ -20,6 +20,8 @@
 pub struct Options {
     /// How long what has ended or is idle is remembered.
     pub retention: Retention,
+    /// How often the dispatcher of a call under way is asked whether it still is.
+    pub confirm: Duration,
     /// How long a primary waits for a replica before it asks again.
     pub resend: Duration,
     /// Whether records must be synced to a disk before they are acknowledged.
@@ -30,6 +32,7 @@
     fn default() -> Self {
         Self {
             retention: Retention::default(),
+            confirm: Duration::from_secs(5),
             resend: Duration::from_millis(300),
             durable: false,
         }
@@ -74,6 +77,8 @@
     Synced(Position),
     /// A process is gone with the calls that it had dispatched.
     Lost(id::Process),
+    /// A process does not know these requests, or no longer.
+    Abandoned(Vec<id::Request>),
     /// Time passed.
     Tick,
 }
@@ -101,6 +106,13 @@
     Replace(Box<Image>),
     /// Tell control that the learners of this epoch are up to date.
     Learned(id::Epoch),
+    /// Ask a process whether calls that have been under way for long still are.
+    Confirm {
+        /// The process that dispatched them.
+        dispatcher: id::Process,
+        /// Their requests.
+        requests: Vec<id::Request>,
+    },
     /// Release what the engines hold for a program that has ended.
     Release {
         /// The program.
@@ -125,8 +137,11 @@
     pub(crate) leading: Option<Leading>,
     /// Whom to tell once the disk holds the records that it sent.
     pub(crate) following: Option<id::Process>,
+    /// The latest round in which the primary asked.
+    pub(crate) asked: Round,
     pub(crate) now: Timestamp,
     pub(crate) housekeeping_due: Timestamp,
+    pub(crate) confirm_due: Timestamp,
     pub(crate) actions: Vec<Action>,
 }
 
@@ -145,8 +160,10 @@
             recent_base: Position::default(),
             leading: None,
             following: None,
+            asked: 0,
             now,
             housekeeping_due: now,
+            confirm_due: now,
             actions: Vec::new(),
         }
     }
@@ -176,7 +193,8 @@
             Event::Request { token, request } => self.request(token, &request),
             Event::Message { from, message } => self.message(&from, message),
             Event::Synced(position) => self.note_synced(position),
-            Event::Lost(process) => self.end_orphans(&process),
+            Event::Lost(process) => self.end_lost(|_, by| *by == process),
+            Event::Abandoned(requests) => self.end_lost(|request, _| requests.contains(request)),
             Event::Tick => self.tick(),
         }
         std::mem::take(&mut self.actions)
@@ -229,6 +247,9 @@
         if self.last.epoch < assignment.origin {
             self.clear();
         }
+        if assignment.epoch > self.epoch {
+            self.asked = 0;
+        }
         self.epoch = assignment.epoch;
         if assignment.primary {
             self.lead(assignment);
@@ -247,18 +268,19 @@
 
     fn message(&mut self, from: &id::Process, message: Message) {
         if message.epoch < self.epoch {
-            if !matches!(message.body, Body::Held(_) | Body::Stale) {
+            if !matches!(message.body, Body::Held { .. } | Body::Stale) {
                 self.send(from, Body::Stale);
             }
             return;
         }
         if message.epoch > self.epoch {
             self.epoch = message.epoch;
+            self.asked = 0;
             self.stop_leading();
         }
         match message.body {
-            Body::Held(position) => self.note_held(from, position),
-            Body::Probe => self.answer_probe(from),
+            Body::Held { last, round } => self.note_held(from, last, round),
+            Body::Probe(round) => self.answer_probe(from, round),
             Body::Append { previous, records } => self.take_append(from, previous, records),
             Body::Install(image) => self.take_image(from, *image),
             Body::Stale => {}
--- a/crates/celerycove-program/src/state.rs
+++ b/crates/celerycove-program/src/state.rs
@@ -1,9 +1,6 @@
 //! The state of one shard.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    sync::Arc,
-};
+use std::{collections::BTreeMap, sync::Arc};
 
 use celerycove_types::{Timestamp, id};
 use serde::{Deserialize, Serialize};
@@ -122,25 +119,6 @@
     Done(Served),
 }
 
-impl State {
-    /// The processes that have calls under way.
-    #[must_use]
-    pub fn dispatchers(&self) -> BTreeSet<id::Process> {
-        let calls = self
-            .programs
-            .values()
-            .flat_map(|program| program.chains.values())
-            .filter_map(|chain| chain.pending.as_ref().filter(|p| p.live))
-            .map(|pending| pending.entry.clone());
-        let services = self
-            .dispatches
-            .values()
-            .filter(|dispatch| dispatch.reply == Reply::Pending)
-            .map(|dispatch| dispatch.entry.clone());
-        calls.chain(services).collect()
-    }
-}
-
 impl Program {
     /// Begins a program.
     #[must_use]
--- a/crates/celerycove-proof/src/main.rs
+++ b/crates/celerycove-proof/src/main.rs
@@ -4,7 +4,7 @@
 
 use celerycove_proof::{Failure, WORLDS, World};
 
-const HELP: &str = "Usage: celerycove-proof [--seeds N] [--first N] [--steps N] [--world NAME]";
+const HELP: &str = "Usage: celerycove-proof [--seeds N] [--first N] [--steps N] [--world NAME] [--trace]";
 
 struct Options {
     first: u64,
@@ -24,6 +24,7 @@
         "only this kind: control, program, limit or queue",
         "NAME",
     );
+    flags.optflag("", "trace", "print what happens, for a single seed");
     flags.optflag("h", "help", "print this text");
     let matches = flags
         .parse(std::env::args().skip(1))
@@ -31,6 +32,12 @@
     if matches.opt_present("help") {
         return Err(flags.usage(HELP));
     }
+    if matches.opt_present("trace") {
+        fern::Dispatch::new()
+            .chain(std::io::stderr())
+            .apply()
+            .map_err(|e| e.to_string())?;
+    }
     let number = |name: &str, standard: u64| match matches.opt_str(name) {
         Some(text) => text
             .parse()
--- a/crates/celerycove-proof/src/net.rs
+++ b/crates/celerycove-proof/src/net.rs
@@ -164,6 +164,12 @@
         }
     }
 
+    /// Whether any link of a process is cut.
+    #[must_use]
+    pub fn is_cut_off(&self, place: Place) -> bool {
+        self.cut.iter().any(|(a, b)| *a == place || *b == place)
+    }
+
     /// Heals all links.
     pub fn heal(&mut self) {
         self.cut.clear();
