--- a/crates/celerycove-control/src/placement.rs
+++ b/crates/celerycove-control/src/placement.rs
@@ -30,6 +30,8 @@
     /// The life of the process that may serve: a process that restarted on its disk may have sent
     /// records that the disk does not hold, so it needs another epoch before it serves again.
     pub life: id::Incarnation,
+    /// The epoch in which this life of the primary's process began to serve, without a break.
+    pub since: id::Epoch,
     /// Who must acknowledge each append.
     pub backups: Vec<Replica>,
     /// Who is being brought up to date.
--- a/crates/celerycove-control/src/placement/plan.rs
+++ b/crates/celerycove-control/src/placement/plan.rs
@@ -117,6 +117,9 @@
         self.retire_leaving(&mut next);
         self.add_learner(shard, &mut next);
         next.life = self.life_of(&next);
+        if next.life != current.life || next.primary != current.primary {
+            next.since = next.epoch;
+        }
         let changed = next.life != current.life
             || next.primary != current.primary
             || next.backups != current.backups
@@ -141,6 +144,7 @@
             }
         }
         next.life = self.life_of(&next);
+        next.since = next.epoch;
         next.primary.is_some().then_some(next)
     }
 
@@ -155,7 +159,10 @@
     /// Makes a live backup the primary; without one, the shard waits for a replica to return. The
     /// old primary becomes a backup: it may still be needed.
     fn promote(&self, next: &mut Assignment) -> Option<()> {
-        let heir = next.backups.iter().position(|backup| self.is_live(backup))?;
+        let heir = next
+            .backups
+            .iter()
+            .position(|backup| self.is_live(backup))?;
         let heir = next.backups.remove(heir);
         next.backups.extend(next.primary.replace(heir));
         Some(())
@@ -174,9 +181,16 @@
     /// are silent too count, for then it may be this instance that is cut off.
     fn drop_silent(&self, next: &mut Assignment) {
         let live = next.full().filter(|replica| self.is_live(replica)).count();
-        let others = self.candidates.keys().any(|process| !next.involves(process));
+        let others = self
+            .candidates
+            .keys()
+            .any(|process| !next.involves(process));
         let replaceable = others || !next.learners.is_empty();
-        let floor = if replaceable { FEWEST.min(self.options.replicas) } else { 1 };
+        let floor = if replaceable {
+            FEWEST.min(self.options.replicas)
+        } else {
+            1
+        };
         let mut kept = floor.saturating_sub(live);
         next.backups.retain(|backup| {
             if self.is_live(backup) {
@@ -264,7 +278,10 @@
                 !candidate.leaving && !candidate.silent && !next.involves(process)
             })
             .min_by_key(|(process, candidate)| {
-                let shared = used.iter().filter(|dc| **dc == &candidate.data_centre).count();
+                let shared = used
+                    .iter()
+                    .filter(|dc| **dc == &candidate.data_centre)
+                    .count();
                 let load = self.load.get(*process).copied().unwrap_or_default();
                 (shared, load, stable_hash(&format!("{shard}/{process}")))
             })
--- a/crates/celerycove-daemon/src/entry/chat/program.rs
+++ b/crates/celerycove-daemon/src/entry/chat/program.rs
@@ -32,6 +32,7 @@
         sse::{Event, Scanner},
     },
     http::{Body, answer},
+    requests::Guard,
 };
 
 /// The chain of calls that name no agent.
@@ -55,6 +56,7 @@
         body: &[u8],
     ) -> Result<Response<Body>, Refusal> {
         let name = call_name(headers)?;
+        let running = self.process.requests.begin(request);
         let begin = HomeRequest::Begin {
             name: name.clone(),
             organisation: caller.organisation.clone(),
@@ -86,7 +88,8 @@
         let entry = self.clone();
         let request = request.clone();
         let headers = headers.clone();
-        let work = tokio::spawn(async move { entry.run_call(&request, &headers, granted).await });
+        let work =
+            tokio::spawn(async move { entry.run_call(&request, &headers, granted, running).await });
         work.await
             .unwrap_or_else(|_| Err(Refusal::unknown("failed", "the call may have run")))
     }
@@ -96,6 +99,7 @@
         request: &id::Request,
         headers: &HeaderMap,
         granted: Granted,
+        running: Guard,
     ) -> Result<Response<Body>, Refusal> {
         let grant = &granted.grant;
         let body = granted.chat.write(&grant.history, grant.max_tokens);
@@ -118,7 +122,7 @@
         order.program = Some(granted.name.program.clone());
         order.attained = grant.spent;
         match self.dispatch(order).await {
-            Ok(dispatched) => self.answer_call(dispatched, granted).await,
+            Ok(dispatched) => self.answer_call(dispatched, granted, running).await,
             Err(refusal) => {
                 let ending = match refusal.run {
                     Run::NotRun => Ending::NotRun,
@@ -134,6 +138,7 @@
         self: Arc<Self>,
         dispatched: Dispatched,
         granted: Granted,
+        running: Guard,
     ) -> Result<Response<Body>, Refusal> {
         if !dispatched.response.status().is_success() {
             // The engine refused the request itself; it generated nothing.
@@ -141,7 +146,7 @@
             return Ok(Relay::pass(&self, dispatched));
         }
         if granted.chat.stream {
-            return Ok(self.stream_call(dispatched, granted));
+            return Ok(self.stream_call(dispatched, granted, running));
         }
         let Dispatched {
             response,
@@ -190,7 +195,12 @@
         }
     }
 
-    fn stream_call(self: Arc<Self>, dispatched: Dispatched, granted: Granted) -> Response<Body> {
+    fn stream_call(
+        self: Arc<Self>,
+        dispatched: Dispatched,
+        granted: Granted,
+        running: Guard,
+    ) -> Response<Body> {
         let Dispatched {
             response,
             backend,
@@ -204,7 +214,10 @@
             body,
             frames,
         };
-        tokio::spawn(run_stream(relay, granted, backend, load));
+        tokio::spawn(async move {
+            run_stream(relay, granted, backend, load).await;
+            drop(running);
+        });
         let mut response = Response::from_parts(parts, passed);
         clean(&mut response);
         response
--- a/crates/celerycove-daemon/src/entry/service.rs
+++ b/crates/celerycove-daemon/src/entry/service.rs
@@ -121,6 +121,7 @@
             .as_ref()
             .map_or("-", |caller| &caller.organisation);
         let key: Arc<str> = format!("{organisation}/{}/{key}", call.prefix).into();
+        let running = self.process.requests.begin(name);
         let intend = HomeRequest::Intend {
             key: key.clone(),
             digest: digest(&call).into(),
@@ -140,7 +141,11 @@
         // The rest goes on if the caller goes away, so that the record gets its ending.
         let entry = self.clone();
         let order = order(name, &call);
-        let work = tokio::spawn(async move { entry.run_once(key, attempt, order).await });
+        let work = tokio::spawn(async move {
+            let result = entry.run_once(key, attempt, order).await;
+            drop(running);
+            result
+        });
         work.await
             .unwrap_or_else(|_| Err(Refusal::unknown("failed", "the call may have run")))
     }
--- a/crates/celerycove-daemon/src/home.rs
+++ b/crates/celerycove-daemon/src/home.rs
@@ -32,6 +32,8 @@
 
 /// How often the replicas are told that time passed.
 const TICK: Duration = Duration::from_millis(50);
+/// How often calls of processes that are gone are looked for.
+const LOOK: Duration = Duration::from_secs(1);
 /// How many questions wait for the task.
 const QUEUED: usize = 16_384;
 
@@ -40,6 +42,7 @@
     Request(id::Shard, Request, oneshot::Sender<Response>),
     Messages(id::Process, Vec<Message>),
     Synced(Vec<(id::Shard, Position)>, bool),
+    Abandoned(id::Shard, Vec<id::Request>),
     Ask(method::Ask, oneshot::Sender<Option<Loan>>),
     Inherit(method::Inherit),
 }
@@ -141,6 +144,7 @@
     next: Token,
     generation: u64,
     renew_due: Timestamp,
+    lost_due: Timestamp,
 }
 
 impl Task {
@@ -173,6 +177,7 @@
             next: 0,
             generation: 0,
             renew_due: Timestamp::ZERO,
+            lost_due: Timestamp::ZERO,
         }
     }
 
@@ -214,6 +219,7 @@
                     self.rewrite();
                 }
             }
+            Input::Abandoned(shard, requests) => self.step(shard, Event::Abandoned(requests)),
             Input::Ask(ask, answer) => {
                 // Who no longer waits needs no answer; the loan then runs out unused.
                 let _ = answer.send(self.limits.lend(&ask));
@@ -288,6 +294,10 @@
                 learned.retain(|(shard, _)| *shard != id);
                 learned.push((id, epoch));
             }
+            Action::Confirm {
+                dispatcher,
+                requests,
+            } => self.confirm(id, dispatcher, requests),
             Action::Release { program, backends } => self.release(&program, &backends),
         }
     }
@@ -333,6 +343,30 @@
         self.end_lost(&view.directory);
     }
 
+    /// Asks the process that dispatched calls long ago whether it still runs them.
+    fn confirm(&self, shard: id::Shard, dispatcher: id::Process, requests: Vec<id::Request>) {
+        let Some((process, _)) = dispatcher.rsplit_once('#') else {
+            return;
+        };
+        let process: id::Process = process.into();
+        let (peers, homes) = (self.peers.clone(), self.homes.clone());
+        let question = method::Confirm {
+            dispatcher,
+            requests,
+        };
+        tokio::spawn(async move {
+            let asked = peers
+                .ask::<_, Vec<id::Request>>(&process, method::CONFIRM, &question)
+                .await;
+            // Without an answer the directory decides, or the next question.
+            if let Ok(abandoned) = asked
+                && !abandoned.is_empty()
+            {
+                let _ = homes.inputs.send(Input::Abandoned(shard, abandoned)).await;
+            }
+        });
+    }
+
     fn assign(&mut self, id: id::Shard, placed: &Placed) {
         let now = self.process.now();
         let options = self.options;
@@ -357,7 +391,14 @@
             return;
         }
         self.limits.assign(id, placed, false, &self.peers);
-        self.step(id, Event::Assign(assignment(placed, &self.process.name, self.process.incarnation)));
+        self.step(
+            id,
+            Event::Assign(assignment(
+                placed,
+                &self.process.name,
+                self.process.incarnation,
+            )),
+        );
         self.shards.remove(&id);
         self.batch.drop_shard(id);
     }
@@ -380,6 +421,11 @@
             self.step(id, Event::Tick);
         }
         let now = self.process.now();
+        if now >= self.lost_due {
+            self.lost_due = now + LOOK;
+            let directory = self.share.view().directory.clone();
+            self.end_lost(&directory);
+        }
         if now >= self.renew_due {
             self.renew_due = now + holds::RENEW;
             self.renew();
--- a/crates/celerycove-daemon/src/home/limits.rs
+++ b/crates/celerycove-daemon/src/home/limits.rs
@@ -3,20 +3,19 @@
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use celerycove_control::placement::Assignment;
-use celerycove_limit::{
-    Loan, Owner,
-    owner::{Entitlement, LONGEST_LOAN},
-};
+use celerycove_limit::{Loan, Seat, owner::Entitlement};
 use celerycove_types::id;
 use celerycove_wire::method;
 
 use crate::{peer::Peers, process::Process, share::Share};
 
-/// The owners of this process, by shard.
+/// The seats of this process, by shard.
 pub(crate) struct Limits {
     process: Arc<Process>,
     share: Arc<Share>,
-    owners: BTreeMap<id::Shard, (id::Epoch, Owner)>,
+    seats: BTreeMap<id::Shard, Seat>,
+    /// Estates that came before the assignment that they belong to.
+    early: BTreeMap<id::Shard, method::Inherit>,
 }
 
 impl Limits {
@@ -24,12 +23,13 @@
         Self {
             process: process.clone(),
             share: share.clone(),
-            owners: BTreeMap::new(),
+            seats: BTreeMap::new(),
+            early: BTreeMap::new(),
         }
     }
 
-    /// How old the proof may be that this process still owns, before it lends nothing: shorter
-    /// than the silence after which another owner may be named.
+    /// How long after the last proof an owner may lend: shorter than the silence after which
+    /// another owner may be named.
     fn authority(&self) -> Duration {
         self.process.settings.process.silence.0 * 3 / 4
     }
@@ -37,25 +37,22 @@
     pub(crate) fn lend(&mut self, ask: &method::Ask) -> Option<Loan> {
         let now = self.process.now();
         let age = self.share.age(now)?;
-        if age >= self.authority() {
-            return None;
-        }
-        let (_, owner) = self.owners.get_mut(&ask.shard)?;
+        let seat = self.seats.get_mut(&ask.shard)?;
         let view = self.share.view();
         let organisation = view.config.organisations.get(&ask.ask.organisation)?;
         let entitlement = Entitlement {
             rate: organisation.rate,
             burst: organisation.burst,
         };
-        let loan = owner.lend(now, &ask.ask, entitlement);
+        let loan = seat.lend(now, age, &ask.ask, entitlement);
         debug_assert_eq!(
-            owner.check(|id| (*id == ask.ask.organisation).then_some(entitlement)),
+            seat.check(|id| (*id == ask.ask.organisation).then_some(entitlement)),
             Ok(())
         );
-        Some(loan)
+        loan
     }
 
-    /// Follows an assignment: begins to own, or hands over.
+    /// Follows an assignment: takes the seat, or leaves it to the next owner.
     pub(crate) fn assign(
         &mut self,
         shard: id::Shard,
@@ -67,17 +64,18 @@
             self.begin(shard, placed);
             return;
         }
-        let Some((_, owner)) = self.owners.remove(&shard) else {
+        let (Some(seat), Some(next)) = (self.seats.remove(&shard), &placed.primary) else {
             return;
         };
-        let Some(next) = &placed.primary else {
+        let sent = self.process.now();
+        let Some(estate) = seat.leave(sent) else {
             return;
         };
         let inherit = method::Inherit {
             shard,
-            epoch: placed.epoch,
-            sent: self.process.now(),
-            buckets: owner.bequeath(),
+            epoch: placed.since,
+            sent,
+            estate,
         };
         let (peers, next) = (peers.clone(), next.process.clone());
         tokio::spawn(async move {
@@ -90,27 +88,32 @@
     }
 
     fn begin(&mut self, shard: id::Shard, placed: &Assignment) {
-        if let Some((epoch, _)) = self.owners.get_mut(&shard) {
-            // The owner stays; only the backups changed.
-            *epoch = placed.epoch;
-            return;
+        let (now, authority) = (self.process.now(), self.authority());
+        // An owner that stays needs no new seat; one that was replaced meanwhile does, even if it
+        // never heard of the owner in between.
+        let stays = self
+            .seats
+            .get(&shard)
+            .is_some_and(|seat| seat.began() == placed.since);
+        if !stays {
+            let first = placed.since == 1;
+            let seat = Seat::begin(placed.since, now, authority, first);
+            self.seats.insert(shard, seat);
+        }
+        if let Some(early) = self.early.remove(&shard) {
+            self.inherit(early);
         }
-        let first = placed.epoch == 1;
-        let wait = if first {
-            Duration::ZERO
-        } else {
-            self.authority() + LONGEST_LOAN
-        };
-        let owner = Owner::new(placed.epoch, self.process.now() + wait);
-        self.owners.insert(shard, (placed.epoch, owner));
     }
 
     pub(crate) fn inherit(&mut self, inherit: method::Inherit) {
         let now = self.process.now();
-        let (_, owner) = self.owners.entry(inherit.shard).or_insert_with(|| {
-            // The hand-over may come before the assignment.
-            (inherit.epoch, Owner::new(inherit.epoch, now))
-        });
-        owner.inherit(now, inherit.sent, inherit.buckets);
+        let Some(seat) = self.seats.get_mut(&inherit.shard) else {
+            self.early.insert(inherit.shard, inherit);
+            return;
+        };
+        if !seat.inherit(inherit.epoch, now, inherit.sent, inherit.estate) {
+            log::info!(target: "limit", shard = inherit.shard, epoch = inherit.epoch;
+                "refused buckets of another epoch");
+        }
     }
 }
--- a/crates/celerycove-daemon/src/internal.rs
+++ b/crates/celerycove-daemon/src/internal.rs
@@ -92,6 +92,7 @@
         follow: Arc<Follow>,
     ) -> Result<(), RegisterMethodError> {
         let context = Context {
+            process: self.process.clone(),
             control,
             homes,
             follow,
@@ -138,6 +139,7 @@
 }
 
 struct Context {
+    process: Arc<Process>,
     control: Option<Arc<Control>>,
     homes: Option<Arc<Homes>>,
     follow: Arc<Follow>,
@@ -177,6 +179,19 @@
         let homes = context.homes.as_ref().ok_or_else(|| lacks("home"))?;
         Ok::<_, ErrorObjectOwned>(homes.request(shard, request).await)
     })?;
+    module.register_method(method::CONFIRM, |parameters, context, _| {
+        let method::Confirm {
+            dispatcher,
+            requests,
+        } = parameters.one()?;
+        let process = &context.process;
+        let abandoned = if dispatcher == process.dispatcher() {
+            process.requests.abandoned(requests)
+        } else {
+            requests
+        };
+        Ok::<_, ErrorObjectOwned>(abandoned)
+    })?;
     module.register_async_method(method::ASK, |parameters, context, _| async move {
         let ask: method::Ask = parameters.one()?;
         let homes = context.homes.as_ref().ok_or_else(|| lacks("home"))?;
--- a/crates/celerycove-daemon/src/lib.rs
+++ b/crates/celerycove-daemon/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod options;
 pub mod peer;
 pub mod process;
+pub mod requests;
 pub mod run;
 pub mod secret;
 pub mod share;
--- a/crates/celerycove-daemon/src/process.rs
+++ b/crates/celerycove-daemon/src/process.rs
@@ -2,7 +2,7 @@
 
 use std::{
     net::SocketAddr,
-    sync::OnceLock,
+    sync::{Arc, OnceLock},
     time::{Instant, SystemTime, UNIX_EPOCH},
 };
 
@@ -11,7 +11,7 @@
 use celerycove_types::{Timestamp, id};
 use tokio::sync::watch;
 
-use crate::{links::Links, metrics::Metrics};
+use crate::{links::Links, metrics::Metrics, requests::Requests};
 
 /// One process of the deployment.
 pub struct Process {
@@ -27,6 +27,8 @@
     pub secret: String,
     /// Links that tests have cut.
     pub links: Links,
+    /// The requests that it runs.
+    pub requests: Arc<Requests>,
     /// What it counts.
     pub metrics: Metrics,
     start: Instant,
@@ -48,6 +50,7 @@
             incarnation,
             secret,
             links: Links::default(),
+            requests: Arc::default(),
             metrics,
             start: Instant::now(),
             life: watch::Sender::new(Life::Serving),
--- a/crates/celerycove-daemon/src/sidecar/forward.rs
+++ b/crates/celerycove-daemon/src/sidecar/forward.rs
@@ -101,7 +101,11 @@
         };
         if let Err(refusal) = self.wait(job).await {
             place.state = State::Over;
-            return self.refuse(StatusCode::SERVICE_UNAVAILABLE, code(refusal));
+            // The dispatch that came before may have run.
+            return match refusal {
+                Refusal::Duplicate => self.unknown(code(refusal)),
+                _ => self.refuse(StatusCode::SERVICE_UNAVAILABLE, code(refusal)),
+            };
         }
         let since = self.process.now();
         place.state = State::Running { since, cost };
--- a/crates/celerycove-limit/src/lib.rs
+++ b/crates/celerycove-limit/src/lib.rs
@@ -9,6 +9,8 @@
 
 pub mod owner;
 pub mod purse;
+pub mod seat;
 
-pub use owner::{Ask, Bucket, Entitlement, Loan, Owner};
+pub use owner::{Ask, Entitlement, Estate, Loan, Owner};
 pub use purse::Purse;
+pub use seat::Seat;
--- a/crates/celerycove-limit/src/owner.rs
+++ b/crates/celerycove-limit/src/owner.rs
@@ -5,6 +5,8 @@
 use celerycove_types::{Timestamp, Violation, id};
 use serde::{Deserialize, Serialize};
 
+use crate::seat::CLOCK_MARGIN;
+
 /// Names a loan of one owner.
 pub type LoanId = u64;
 
@@ -12,8 +14,9 @@
 pub const LONGEST_LOAN: Duration = Duration::from_millis(500);
 /// The shortest that a loan lasts.
 pub const SHORTEST_LOAN: Duration = Duration::from_millis(50);
-/// How long after its end a loan may still be given back.
-const GIVE_BACK: Duration = Duration::from_secs(10);
+/// How long after its end a loan may still be given back. Until then its tokens count against the
+/// burst; what came back later would come on top of it.
+const GIVE_BACK: Duration = Duration::from_millis(250);
 /// Rounding errors of refills stay below this many tokens.
 const TOLERANCE: f64 = 1e-6;
 
@@ -57,7 +60,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 struct Lent {
     unspent: u32,
-    /// Time left, counted from the bucket's own time.
+    /// Until when it counts.
     until: Timestamp,
 }
 
@@ -70,25 +73,25 @@
 }
 
 impl Bucket {
-    /// Tokens that may still be spent.
+    /// Tokens that may still be spent or given back.
     fn outstanding(&self) -> u32 {
-        self.lent
-            .values()
-            .filter(|lent| lent.until > self.at)
-            .map(|lent| lent.unspent)
-            .sum()
+        self.lent.values().map(|lent| lent.unspent).sum()
     }
 
     fn refill(&mut self, now: Timestamp, entitlement: Entitlement) {
         let elapsed = now.saturating_sub(self.at).as_secs_f64();
         self.at = self.at.max(now);
-        // What was lent and never given back may have been spent: only a report brings it back.
-        self.lent.retain(|_, lent| lent.until + GIVE_BACK > now);
         let room = f64::from(entitlement.burst) - f64::from(self.outstanding());
         let filled = self.level + elapsed * entitlement.rate;
         self.level = filled.min(room).max(0.0);
     }
 
+    /// Forgets loans that can neither be spent nor given back any more. Whether they were spent is
+    /// not known, so only the refill makes up for them.
+    fn expire(&mut self, now: Timestamp) {
+        self.lent.retain(|_, lent| lent.until > now);
+    }
+
     fn settle(&mut self, ask: &Ask) {
         for (loan, unspent) in &ask.open {
             if let Some(lent) = self.lent.get_mut(loan) {
@@ -103,58 +106,89 @@
     }
 
     /// Re-bases the bucket's times from one clock to another.
-    #[must_use]
-    pub fn rebased(mut self, from: Timestamp, to: Timestamp) -> Self {
-        let shift = |time: Timestamp| {
-            to.saturating_sub(from.saturating_sub(time)) + time.saturating_sub(from)
-        };
-        self.at = shift(self.at);
+    fn rebased(mut self, from: Timestamp, to: Timestamp) -> Self {
+        self.at = rebase(self.at, from, to);
         for lent in self.lent.values_mut() {
-            lent.until = shift(lent.until);
+            lent.until = rebase(lent.until, from, to);
         }
         self
     }
 }
 
+/// What is known of buckets that nobody has asked for yet.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Unseen {
+    /// Whether they were full at `at`; otherwise they were empty.
+    full: bool,
+    at: Timestamp,
+}
+
+/// What one owner hands over to the next.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Estate {
+    buckets: BTreeMap<id::Organisation, Bucket>,
+    unseen: Unseen,
+}
+
+/// Re-bases a time from one clock to another.
+fn rebase(time: Timestamp, from: Timestamp, to: Timestamp) -> Timestamp {
+    to.saturating_sub(from.saturating_sub(time)) + time.saturating_sub(from)
+}
+
 /// The owner of some organisations' buckets during one epoch.
 #[derive(Debug, Clone)]
 pub struct Owner {
     quiet_until: Timestamp,
+    unseen: Unseen,
     next: LoanId,
     buckets: BTreeMap<id::Organisation, Bucket>,
 }
 
 impl Owner {
-    /// Starts owning. Until `quiet_until` an earlier owner's loans may last, so nothing is lent;
+    /// Starts owning. Until `quiet_until` an earlier owner's loans may last, so nothing is lent.
+    /// All may have been spent just then, so buckets are empty unless they are known to be `full`.
     /// `epoch` keeps the names of loans apart from those of earlier owners.
     #[must_use]
-    pub fn new(epoch: id::Epoch, quiet_until: Timestamp) -> Self {
+    pub fn new(epoch: id::Epoch, quiet_until: Timestamp, full: bool) -> Self {
         Self {
             quiet_until,
+            unseen: Unseen {
+                full,
+                at: quiet_until,
+            },
             next: epoch << 32,
             buckets: BTreeMap::new(),
         }
     }
 
-    /// Takes buckets over from the owner before, who lends no more.
-    pub fn inherit(
-        &mut self,
-        now: Timestamp,
-        sent: Timestamp,
-        buckets: BTreeMap<id::Organisation, Bucket>,
-    ) {
+    /// Takes over from the owner before, who lends no more.
+    pub fn inherit(&mut self, now: Timestamp, sent: Timestamp, estate: Estate) {
+        if !self.is_quiet(now) {
+            return;
+        }
         self.quiet_until = now;
-        for (organisation, bucket) in buckets {
-            self.buckets
-                .entry(organisation)
-                .or_insert_with(|| bucket.rebased(sent, now));
+        self.unseen = Unseen {
+            at: rebase(estate.unseen.at, sent, now),
+            ..estate.unseen
+        };
+        for (organisation, bucket) in estate.buckets {
+            self.buckets.insert(organisation, bucket.rebased(sent, now));
         }
     }
 
+    /// Whether an earlier owner's loans may last.
+    #[must_use]
+    pub fn is_quiet(&self, now: Timestamp) -> bool {
+        now < self.quiet_until
+    }
+
     /// Gives the buckets away; this owner must lend no more.
     #[must_use]
-    pub fn bequeath(self) -> BTreeMap<id::Organisation, Bucket> {
-        self.buckets
+    pub fn bequeath(self) -> Estate {
+        Estate {
+            buckets: self.buckets,
+            unseen: self.unseen,
+        }
     }
 
     /// Lends tokens.
@@ -169,17 +203,23 @@
                 outstanding: true,
             };
         }
-        let quiet_until = self.quiet_until;
+        let unseen = self.unseen;
         let bucket = self
             .buckets
             .entry(ask.organisation.clone())
             .or_insert_with(|| Bucket {
-                level: f64::from(entitlement.burst),
-                at: quiet_until,
+                level: if unseen.full {
+                    f64::from(entitlement.burst)
+                } else {
+                    0.0
+                },
+                at: unseen.at,
                 lent: BTreeMap::new(),
             });
-        bucket.settle(ask);
+        // Room that a report makes is filled from now on, not from before.
         bucket.refill(now, entitlement);
+        bucket.expire(now);
+        bucket.settle(ask);
         let tokens = share(bucket.level, ask.want);
         let lasts = loan_length(entitlement);
         if tokens == 0 {
@@ -189,7 +229,7 @@
         self.next += 1;
         let lent = Lent {
             unspent: tokens,
-            until: now + lasts,
+            until: now + lasts.mul_f64(CLOCK_MARGIN) + GIVE_BACK,
         };
         bucket.lent.insert(self.next, lent);
         Loan {
@@ -244,7 +284,7 @@
     let back = bucket
         .lent
         .values()
-        .filter(|lent| lent.unspent > 0 && lent.until > now)
+        .filter(|lent| lent.unspent > 0)
         .map(|lent| lent.until.saturating_sub(now))
         .min();
     Loan {
--- a/crates/celerycove-limit/src/purse.rs
+++ b/crates/celerycove-limit/src/purse.rs
@@ -20,7 +20,10 @@
 
 #[derive(Debug, Default)]
 struct Ledger {
+    /// The loan being spent; zero if it was given back.
     loan: LoanId,
+    /// The latest loan ever taken.
+    latest: LoanId,
     closed: Vec<(LoanId, u32)>,
     spent_at_ask: u64,
     asked: Timestamp,
@@ -108,6 +111,11 @@
             return;
         }
         let mut ledger = self.ledger();
+        // A loan that comes twice or late was spent before, or is given up.
+        if loan.id <= ledger.latest {
+            return;
+        }
+        ledger.latest = loan.id;
         // Nobody can spend between the two stores more than the smaller of both loans.
         let left = self.tokens.swap(0, AcqRel);
         if ledger.loan != 0 {
--- a/crates/celerycove-program/src/primary.rs
+++ b/crates/celerycove-program/src/primary.rs
@@ -124,7 +124,11 @@
             self.actions.push(Action::Respond { token, response });
             return;
         }
-        if self.leading.as_ref().is_some_and(|l| l.waiting.len() >= MOST_WAITING) {
+        if self
+            .leading
+            .as_ref()
+            .is_some_and(|l| l.waiting.len() >= MOST_WAITING)
+        {
             let response = Response::NotPrimary;
             self.actions.push(Action::Respond { token, response });
             return;
@@ -181,7 +185,9 @@
 
     pub(crate) fn end_lost(&mut self, is_lost: impl Fn(&id::Request, &id::Process) -> bool) {
         if self.leading.is_some() {
-            let ops = self.state.unresolved(|call| is_lost(call.request, call.dispatcher));
+            let ops = self
+                .state
+                .unresolved(|call| is_lost(call.request, call.dispatcher));
             self.commit(ops);
         }
     }
--- a/crates/celerycove-proof/src/main.rs
+++ b/crates/celerycove-proof/src/main.rs
@@ -4,7 +4,8 @@
 
 use celerycove_proof::{Failure, WORLDS, World};
 
-const HELP: &str = "Usage: celerycove-proof [--seeds N] [--first N] [--steps N] [--world NAME] [--trace]";
+const HELP: &str =
+    "Usage: celerycove-proof [--seeds N] [--first N] [--steps N] [--world NAME] [--trace]";
 
 struct Options {
     first: u64,
--- a/crates/celerycove-proof/src/world/program.rs
+++ b/crates/celerycove-proof/src/world/program.rs
@@ -46,7 +46,11 @@
     AskAgain(Op, Phase),
     Synced(Incarnation, id::Shard, Position),
     View(Placement),
-    Announce(Place, (Incarnation, Incarnation), Vec<(id::Shard, id::Epoch)>),
+    Announce(
+        Place,
+        (Incarnation, Incarnation),
+        Vec<(id::Shard, id::Epoch)>,
+    ),
     Confirm(Place, id::Shard, Vec<id::Request>),
     Abandoned(id::Shard, Vec<id::Request>),
     RestartHome,
@@ -68,7 +72,14 @@
     incarnations: Incarnation,
     entries: Vec<Option<Entry>>,
     placement: Placement,
-    heard: BTreeMap<Place, (Timestamp, (Incarnation, Incarnation), Vec<(id::Shard, id::Epoch)>)>,
+    heard: BTreeMap<
+        Place,
+        (
+            Timestamp,
+            (Incarnation, Incarnation),
+            Vec<(id::Shard, id::Epoch)>,
+        ),
+    >,
     callers: Callers,
     /// Lives of entries that are over, and from when the homes know it.
     over: Vec<(Timestamp, id::Process)>,
@@ -282,7 +293,8 @@
                     .filter(|request| !self.callers.knows(entry, request))
                     .collect();
                 if !abandoned.is_empty() {
-                    self.net.send(HOMES + entry, home, Input::Abandoned(shard, abandoned));
+                    self.net
+                        .send(HOMES + entry, home, Input::Abandoned(shard, abandoned));
                 }
             }
             Input::AskAgain(op, phase) => {
@@ -301,7 +313,10 @@
             return;
         };
         let now = self.net.now();
-        if let Some((op, phase)) = self.callers.begin(entry, &dispatcher, now, &mut self.net.rng) {
+        if let Some((op, phase)) = self
+            .callers
+            .begin(entry, &dispatcher, now, &mut self.net.rng)
+        {
             self.ask(entry, op, phase);
         }
     }
@@ -311,7 +326,8 @@
         let Some(request) = self.callers.request(op, phase) else {
             return;
         };
-        self.net.after(ASK_AGAIN, HOMES + entry, Input::AskAgain(op, phase));
+        self.net
+            .after(ASK_AGAIN, HOMES + entry, Input::AskAgain(op, phase));
         let Some(view) = self.entries[entry].as_ref().map(|entry| &entry.view) else {
             return;
         };
@@ -328,10 +344,17 @@
             shard,
             request,
         };
-        self.net.send(HOMES + entry, primary, Input::Ask(HOMES + entry, ask));
+        self.net
+            .send(HOMES + entry, primary, Input::Ask(HOMES + entry, ask));
     }
 
-    fn reply(&mut self, entry: usize, op: Op, phase: Phase, response: &Response) -> Result<(), Violation> {
+    fn reply(
+        &mut self,
+        entry: usize,
+        op: Op,
+        phase: Phase,
+        response: &Response,
+    ) -> Result<(), Violation> {
         if !self.callers.waits(entry, op, phase) || *response == Response::NotPrimary {
             return Ok(());
         }
@@ -365,13 +388,20 @@
         while self.net.now() < deadline {
             self.step()?;
             let after = self.callers.progress();
-            if after.iter().zip(&before).all(|(after, before)| after > before) {
+            if after
+                .iter()
+                .zip(&before)
+                .all(|(after, before)| after > before)
+            {
                 return Ok(());
             }
         }
         Violation::unless(false, "recovers", || {
             let after = self.callers.progress();
-            format!("callers went from {before:?} to {after:?} in {RECOVERY:?}: {:?}", self.placement)
+            format!(
+                "callers went from {before:?} to {after:?} in {RECOVERY:?}: {:?}",
+                self.placement
+            )
         })
     }
 }
--- a/crates/celerycove-proof/src/world/program/callers.rs
+++ b/crates/celerycove-proof/src/world/program/callers.rs
@@ -97,7 +97,12 @@
     }
 
     fn agent(caller: usize) -> id::Agent {
-        if caller.is_multiple_of(2) { "main" } else { "sub" }.into()
+        if caller.is_multiple_of(2) {
+            "main"
+        } else {
+            "sub"
+        }
+        .into()
     }
 
     pub(super) fn acknowledged(&self) -> u64 {
@@ -111,7 +116,9 @@
     /// Whether an entry still runs a request.
     pub(super) fn knows(&self, entry: usize, request: &id::Request) -> bool {
         let op = request[1..].parse().unwrap_or(0);
-        self.running.get(&op).is_some_and(|running| running.entry == entry)
+        self.running
+            .get(&op)
+            .is_some_and(|running| running.entry == entry)
     }
 
     pub(super) fn entry_died(&mut self, entry: usize) {
@@ -139,7 +146,9 @@
         now: Timestamp,
         rng: &mut impl Rng,
     ) -> Option<(Op, Phase)> {
-        let idle: Vec<usize> = (0..CALLERS).filter(|c| self.callers[*c].sent.is_none()).collect();
+        let idle: Vec<usize> = (0..CALLERS)
+            .filter(|c| self.callers[*c].sent.is_none())
+            .collect();
         let caller = *idle.get(rng.random_range(0..idle.len().max(1)))?;
         let state = &mut self.callers[caller];
         state.sent = Some(now);
@@ -234,7 +243,12 @@
     }
 
     /// Takes the home's answer; true if the call may be dispatched now.
-    pub(super) fn take_reply(&mut self, op: Op, phase: Phase, response: &Response) -> Result<bool, Violation> {
+    pub(super) fn take_reply(
+        &mut self,
+        op: Op,
+        phase: Phase,
+        response: &Response,
+    ) -> Result<bool, Violation> {
         match (phase, response) {
             (Phase::Opening, Response::Done) => {
                 self.open(op);
@@ -285,16 +299,23 @@
             .collect();
         if caller.generation == running.generation {
             Violation::unless(grant.history == told, "history-whole", || {
-                format!("call {} of {}: {:?} instead of {told:?}", running.call, running.caller, grant.history)
+                format!(
+                    "call {} of {}: {:?} instead of {told:?}",
+                    running.call, running.caller, grant.history
+                )
             })?;
         }
         let rival = self.running.iter().find(|(other, r)| {
             **other != op
-                && (r.caller, r.generation, r.call) == (running.caller, running.generation, running.call)
+                && (r.caller, r.generation, r.call)
+                    == (running.caller, running.generation, running.call)
                 && r.phase == Phase::Running
         });
         Violation::unless(rival.is_none(), "one-dispatch-at-a-time", || {
-            format!("call {} of {} is dispatched twice", running.call, running.caller)
+            format!(
+                "call {} of {} is dispatched twice",
+                running.call, running.caller
+            )
         })?;
         if let Some(running) = self.running.get_mut(&op) {
             running.attempt = grant.attempt;
@@ -314,7 +335,9 @@
             let (count, _) = self.payments.entry(key.clone()).or_default();
             *count += 1;
             let count = *count;
-            return Violation::unless(count <= 1, "at-most-once", || format!("{key} ran {count} times"));
+            return Violation::unless(count <= 1, "at-most-once", || {
+                format!("{key} ran {count} times")
+            });
         }
         let Some(grant) = running.grant.clone() else {
             return Ok(());
@@ -336,11 +359,19 @@
         if let Some(running) = self.running.get_mut(&op) {
             running.answer = Some(answer);
         }
-        Violation::unless(spent <= BUDGET, "budget-kept", || format!("{program} spent {spent}"))
+        Violation::unless(spent <= BUDGET, "budget-kept", || {
+            format!("{program} spent {spent}")
+        })
     }
 
     /// The entry learns how the dispatch ended; true if it has to tell the home.
-    pub(super) fn end_dispatch(&mut self, entry: usize, op: Op, ran: bool, lost: bool) -> Result<bool, Violation> {
+    pub(super) fn end_dispatch(
+        &mut self,
+        entry: usize,
+        op: Op,
+        ran: bool,
+        lost: bool,
+    ) -> Result<bool, Violation> {
         let Some(running) = self.running.get_mut(&op).filter(|r| r.entry == entry) else {
             return Ok(false);
         };
@@ -353,7 +384,11 @@
         let Some(running) = self.running.get(&op) else {
             return Ok(());
         };
-        match (running.ending, is_payer(running.caller), running.answer.clone()) {
+        match (
+            running.ending,
+            is_payer(running.caller),
+            running.answer.clone(),
+        ) {
             (Some(true), true, _) => {
                 self.tell_paid(op);
                 Ok(())
@@ -395,7 +430,10 @@
         let position = usize::try_from(running.call - 1).unwrap_or(usize::MAX);
         if let Some((_, told)) = caller.told.get(position) {
             return Violation::unless(told.message == answer.message, "answer-stays", || {
-                format!("call {}: {} instead of {}", running.call, answer.message, told.message)
+                format!(
+                    "call {}: {} instead of {}",
+                    running.call, answer.message, told.message
+                )
             });
         }
         caller.told.push((turn(&running), answer));
@@ -464,14 +502,20 @@
     /// Payments told as done ran once.
     pub(super) fn check(&self) -> Result<(), Violation> {
         for (key, (count, told)) in &self.payments {
-            Violation::unless(!told || *count == 1, "done-ran-once", || format!("{key} ran {count} times"))?;
+            Violation::unless(!told || *count == 1, "done-ran-once", || {
+                format!("{key} ran {count} times")
+            })?;
         }
         Ok(())
     }
 }
 
 fn turn(running: &Running) -> Turn {
-    format!("t{}.{}.{}", running.caller, running.generation, running.call).into()
+    format!(
+        "t{}.{}.{}",
+        running.caller, running.generation, running.call
+    )
+    .into()
 }
 
 fn ending<T>(running: &Running, done: impl FnOnce() -> T) -> Ending<T> {
--- a/crates/celerycove-proof/src/world/program/homes.rs
+++ b/crates/celerycove-proof/src/world/program/homes.rs
@@ -10,7 +10,9 @@
 };
 use celerycove_types::{Violation, id};
 
-use super::{AUTHORITY, DURABLE, ENTRIES, HOMES, Incarnation, Input, SILENCE, World, home_name, place_of};
+use super::{
+    AUTHORITY, DURABLE, ENTRIES, HOMES, Incarnation, Input, SILENCE, World, home_name, place_of,
+};
 use crate::net::Place;
 
 /// What survives a home with a disk.
@@ -67,7 +69,10 @@
     /// to run, if a fault struck one more home.
     pub(super) fn bears(&self, struck: Place) -> bool {
         let well = |place: Place| {
-            let heard = self.heard.get(&place).is_some_and(|(at, _, _)| self.net.now() < *at + SILENCE / 2);
+            let heard = self
+                .heard
+                .get(&place)
+                .is_some_and(|(at, _, _)| self.net.now() < *at + SILENCE / 2);
             place != struck && heard && !self.net.is_cut_off(place)
         };
         let survives = |shard: &Placed| {
@@ -82,7 +87,10 @@
         };
         // An authority that is cut off while it still believes in a dead home is a third fault.
         let believed_dead = (0..HOMES).all(|home| {
-            let silent = self.heard.get(&home).is_none_or(|(at, _, _)| self.net.now() >= *at + SILENCE);
+            let silent = self
+                .heard
+                .get(&home)
+                .is_none_or(|(at, _, _)| self.net.now() >= *at + SILENCE);
             self.homes[home].is_some() || silent
         });
         let noticed = struck != AUTHORITY || believed_dead;
@@ -112,7 +120,8 @@
                 self.for_each_shard(place, |_| Event::Tick)?;
                 self.end_lost(place)?;
                 if let Some(home) = &self.homes[place] {
-                    let announce = Input::Announce(place, (home.incarnation, home.life), home.learned.clone());
+                    let announce =
+                        Input::Announce(place, (home.incarnation, home.life), home.learned.clone());
                     self.net.send(place, AUTHORITY, announce);
                 }
             }
@@ -149,7 +158,10 @@
     fn end_lost(&mut self, place: Place) -> Result<(), Violation> {
         let now = self.net.now();
         let mut lost = Vec::new();
-        for shard in self.homes[place].iter().flat_map(|home| home.shards.values()) {
+        for shard in self.homes[place]
+            .iter()
+            .flat_map(|home| home.shards.values())
+        {
             let dispatchers = shard.state().dispatchers();
             let over = self.over.iter().filter(|(at, _)| *at <= now);
             let own = over.filter(|(_, name)| dispatchers.contains(name));
@@ -160,11 +172,18 @@
     }
 
     /// Asks the life of an entry that dispatched; another life is told of by the directory.
-    fn confirm(&mut self, place: Place, id: id::Shard, dispatcher: &id::Process, requests: Vec<id::Request>) {
+    fn confirm(
+        &mut self,
+        place: Place,
+        id: id::Shard,
+        dispatcher: &id::Process,
+        requests: Vec<id::Request>,
+    ) {
         for entry in 0..ENTRIES {
             if self.dispatcher(entry).as_ref() == Some(dispatcher) {
                 let requests = requests.clone();
-                self.net.send(place, HOMES + entry, Input::Confirm(place, id, requests));
+                self.net
+                    .send(place, HOMES + entry, Input::Confirm(place, id, requests));
             }
         }
     }
@@ -178,7 +197,11 @@
         }
     }
 
-    fn for_each_shard(&mut self, place: Place, event: impl Fn(id::Shard) -> Event) -> Result<(), Violation> {
+    fn for_each_shard(
+        &mut self,
+        place: Place,
+        event: impl Fn(id::Shard) -> Event,
+    ) -> Result<(), Violation> {
         let ids: Vec<id::Shard> = self.homes[place]
             .as_ref()
             .map(|home| home.shards.keys().copied().collect())
@@ -187,7 +210,11 @@
             .try_for_each(|id| self.shard_event(place, id, event(id)))
     }
 
-    fn home_view(&mut self, place: Place, view: &celerycove_control::Placement) -> Result<(), Violation> {
+    fn home_view(
+        &mut self,
+        place: Place,
+        view: &celerycove_control::Placement,
+    ) -> Result<(), Violation> {
         let Some(home) = &mut self.homes[place] else {
             return Ok(());
         };
@@ -205,7 +232,10 @@
                 self.ensure_shard(place, id);
                 self.shard_event(place, id, Event::Assign(assignment(placed, &me, life)))?;
             } else if let Some(home) = &mut self.homes[place] {
-                let older = home.shards.get(&id).is_some_and(|s| s.epoch() <= placed.epoch);
+                let older = home
+                    .shards
+                    .get(&id)
+                    .is_some_and(|s| s.epoch() <= placed.epoch);
                 if older {
                     home.shards.remove(&id);
                     home.unsynced.retain(|(shard, _, _)| *shard != id);
@@ -218,13 +248,19 @@
 
     fn shard_event(&mut self, place: Place, id: id::Shard, event: Event) -> Result<(), Violation> {
         let now = self.net.clock(place);
-        let Some(shard) = self.homes[place].as_mut().and_then(|home| home.shards.get_mut(&id)) else {
+        let Some(shard) = self.homes[place]
+            .as_mut()
+            .and_then(|home| home.shards.get_mut(&id))
+        else {
             return Ok(());
         };
         let named = format!("{event:?}");
         let actions = shard.step(now, event);
         if !actions.is_empty() {
-            log::trace!("home {place} epoch {} {named} gives {actions:?}", shard.epoch());
+            log::trace!(
+                "home {place} epoch {} {named} gives {actions:?}",
+                shard.epoch()
+            );
         }
         shard.check()?;
         for action in actions {
@@ -242,9 +278,12 @@
                 }
             }
             Action::Respond { token, response } => {
-                let waiting = self.homes[place].as_mut().and_then(|home| home.waiting.remove(&token));
+                let waiting = self.homes[place]
+                    .as_mut()
+                    .and_then(|home| home.waiting.remove(&token));
                 if let Some((entry, op, phase)) = waiting {
-                    self.net.send(place, entry, Input::Reply(op, phase, response));
+                    self.net
+                        .send(place, entry, Input::Reply(op, phase, response));
                 }
             }
             Action::Persist(_) | Action::Replace(_) => self.write(place, id),
--- a/crates/celerycove-queue/src/fair.rs
+++ b/crates/celerycove-queue/src/fair.rs
@@ -1,6 +1,9 @@
 //! The order of a queue: fair between organisations, then by whole programs.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use celerycove_types::{Timestamp, id};
 
@@ -47,7 +50,7 @@
 #[derive(Debug, Default)]
 pub struct Line {
     parts: BTreeMap<id::Organisation, Part>,
-    length: usize,
+    ids: BTreeSet<id::Request>,
     /// The service that the last organisation chosen had had; a newcomer starts from here.
     floor: f64,
 }
@@ -56,13 +59,19 @@
     /// How many requests wait.
     #[must_use]
     pub fn len(&self) -> usize {
-        self.length
+        self.ids.len()
     }
 
     /// Whether nothing waits.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.length == 0
+        self.ids.is_empty()
+    }
+
+    /// Whether a request waits.
+    #[must_use]
+    pub fn contains(&self, id: &id::Request) -> bool {
+        self.ids.contains(id)
     }
 
     /// Adds a request.
@@ -73,8 +82,8 @@
             // Who was away gains no claim to the time that others used meanwhile.
             part.served = part.served.max(floor);
         }
+        self.ids.insert(job.id.clone());
         part.waiting.push(Waiting { job, since: now });
-        self.length += 1;
     }
 
     /// Takes the request that runs next.
@@ -89,7 +98,7 @@
         let job = part.waiting.remove(next).job;
         part.served += job.cost / f64::from(job.weight.max(1));
         part.running += 1;
-        self.length -= 1;
+        self.ids.remove(&job.id);
         Some(job)
     }
 
@@ -108,7 +117,7 @@
     pub fn remove(&mut self, id: &id::Request) -> Option<Job> {
         for part in self.parts.values_mut() {
             if let Some(at) = part.waiting.iter().position(|w| w.job.id == *id) {
-                self.length -= 1;
+                self.ids.remove(id);
                 return Some(part.waiting.remove(at).job);
             }
         }
@@ -122,13 +131,14 @@
             .values_mut()
             .filter(|part| !part.waiting.is_empty())
             .max_by(|a, b| crowding(a).total_cmp(&crowding(b)))?;
-        self.length -= 1;
-        part.waiting.pop().map(|waiting| waiting.job)
+        let job = part.waiting.pop()?.job;
+        self.ids.remove(&job.id);
+        Some(job)
     }
 
     /// Removes everything.
     pub fn drain(&mut self) -> Vec<Job> {
-        self.length = 0;
+        self.ids.clear();
         self.parts
             .values_mut()
             .flat_map(|part| part.waiting.drain(..))
@@ -143,7 +153,9 @@
             let late = |w: &mut Waiting| w.job.deadline.is_some_and(|d| d <= now);
             expired.extend(part.waiting.extract_if(.., late).map(|w| w.job));
         }
-        self.length -= expired.len();
+        for job in &expired {
+            self.ids.remove(&job.id);
+        }
         expired
     }
 
--- a/crates/celerycove-queue/src/queue.rs
+++ b/crates/celerycove-queue/src/queue.rs
@@ -214,6 +214,11 @@
         self.holds.len()
     }
 
+    /// The programs whose hold ended before a time and is still there, for checks.
+    pub fn overdue(&self, before: Timestamp) -> impl Iterator<Item = &id::Program> {
+        self.holds.overdue(before)
+    }
+
     /// Whether nothing runs or waits.
     #[must_use]
     pub fn is_idle(&self) -> bool {
@@ -246,11 +251,11 @@
 
     fn arrive(&mut self, job: Job, actions: &mut Vec<Action>) {
         let refusal = match self.gate {
+            _ if self.is_known(&job.id) => Some(Refusal::Duplicate),
             Gate::Drained => Some(Refusal::Drained),
             Gate::Leaving => Some(Refusal::Leaving),
             Gate::Stale => Some(Refusal::Stale),
             Gate::Open if self.ramp.is_failing() => Some(Refusal::Failing),
-            Gate::Open if self.is_known(&job.id) => Some(Refusal::Duplicate),
             Gate::Open => None,
         };
         if let Some(refusal) = refusal {
@@ -266,7 +271,7 @@
     }
 
     fn is_known(&self, id: &id::Request) -> bool {
-        self.dispatched.contains_key(id) || self.running.contains_key(id)
+        self.dispatched.contains_key(id) || self.running.contains_key(id) || self.line.contains(id)
     }
 
     fn cancel(&mut self, id: &id::Request, actions: &mut Vec<Action>) {
--- a/crates/celerycove-wire/src/method.rs
+++ b/crates/celerycove-wire/src/method.rs
@@ -1,9 +1,9 @@
 //! Methods between processes and their parameters.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::time::Duration;
 
 use celerycove_control::Message as ControlMessage;
-use celerycove_limit::Bucket;
+use celerycove_limit::Estate;
 use celerycove_program::{Message as ShardMessage, Request as ShardRequest};
 use celerycove_types::{Timestamp, id};
 use serde::{Deserialize, Serialize};
@@ -16,6 +16,8 @@
 pub const SHARD: &str = "shard.messages";
 /// Asks the primary of a shard.
 pub const REQUEST: &str = "shard.request";
+/// Asks whether calls that were dispatched are still under way.
+pub const CONFIRM: &str = "entry.confirm";
 /// Asks the owner of a bucket for tokens.
 pub const ASK: &str = "limit.ask";
 /// Hands buckets over to their next owner.
@@ -52,6 +54,15 @@
     pub request: ShardRequest,
 }
 
+/// A question whether calls are still under way; the answer names those that are not.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Confirm {
+    /// The life of the process that dispatched them.
+    pub dispatcher: id::Process,
+    /// Their requests.
+    pub requests: Vec<id::Request>,
+}
+
 /// A question to the owner of a bucket.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Ask {
@@ -71,7 +82,7 @@
     /// The old owner's clock when it sent them.
     pub sent: Timestamp,
     /// The buckets.
-    pub buckets: BTreeMap<id::Organisation, Bucket>,
+    pub estate: Estate,
 }
 
 /// Programs whose engine memory is held on or released.
