--- a/crates/celerycove-cli/src/command.rs
+++ b/crates/celerycove-cli/src/command.rs
@@ -108,7 +108,7 @@
     let mut text = String::from("Usage: celerycove COMMAND [ARGUMENTS] [OPTIONS]\n\nCommands:\n");
     for command in &COMMANDS {
         let head = format!("{} {}", command.name, command.arguments);
-        text.push_str(&format!("  {}\n      {}\n", head.trim_end(), command.help));
+        text.extend(["  ", head.trim_end(), "\n      ", command.help, "\n"]);
     }
     text.push_str("\nExit codes: 0 done, 1 failed, 2 wrong usage, 3 conflict, 4 not valid, 5 outcome not known.\n");
     text.push_str(&options::flags().usage("Options of every command:"));
--- a/crates/celerycove-config/src/file.rs
+++ b/crates/celerycove-config/src/file.rs
@@ -5,6 +5,7 @@
 
 use std::collections::BTreeMap;
 
+use celerycove_types::Requirements;
 use ini::{Ini, Properties};
 
 use crate::{
@@ -91,7 +92,7 @@
     String::from_utf8_lossy(&text).into_owned()
 }
 
-fn fault(section: &str, key: &str, reason: impl ToString) -> Fault {
+fn fault(section: &str, key: &str, reason: impl std::fmt::Display) -> Fault {
     Fault {
         section: section.to_owned(),
         key: key.to_owned(),
@@ -136,8 +137,8 @@
             Ok(Change::Select {
                 name: name.to_owned(),
                 selector: Some(Selector {
-                    traffic: value(heading, properties, "traffic", Default::default())?,
-                    target: value(heading, properties, "target", Default::default())?,
+                    traffic: value(heading, properties, "traffic", Requirements::default())?,
+                    target: value(heading, properties, "target", Requirements::default())?,
                     confine: value(heading, properties, "confine", false)?,
                 }),
             })
--- a/crates/celerycove-control/src/node.rs
+++ b/crates/celerycove-control/src/node.rs
@@ -33,7 +33,7 @@
     fn default() -> Self {
         Self {
             heartbeat: Duration::from_millis(150),
-            election: Duration::from_millis(1000),
+            election: Duration::from_secs(1),
             snapshot_after: 1024,
         }
     }
@@ -140,13 +140,13 @@
             return Vec::new();
         }
         let mut actions = Vec::new();
-        self.dispatch(Input::Clock(now), &mut actions);
+        self.dispatch(&Input::Clock(now), &mut actions);
         match event {
-            Event::Tick => self.dispatch(Input::Tick, &mut actions),
-            Event::Propose(proposed) => self.dispatch(Input::Propose(proposed), &mut actions),
+            Event::Tick => self.dispatch(&Input::Tick, &mut actions),
+            Event::Propose(proposed) => self.dispatch(&Input::Propose(proposed), &mut actions),
             Event::Message { from, message } => self.take_message(from, message, &mut actions),
         }
-        self.dispatch(Input::Finish, &mut actions);
+        self.dispatch(&Input::Finish, &mut actions);
         if let Some(error) = self.machine.failed.clone() {
             self.halted = true;
             return vec![Action::Halt(error)];
@@ -160,13 +160,13 @@
             Body::PreVote { .. } | Body::PreVoteReply { granted: true }
         );
         if !asks_only && message.term > self.machine.ballot.term {
-            self.dispatch(Input::StepDown(message.term), actions);
+            self.dispatch(&Input::StepDown(message.term), actions);
         }
-        self.dispatch(Input::Message(from, message), actions);
+        self.dispatch(&Input::Message(from, message), actions);
     }
 
-    fn dispatch(&mut self, input: Input, actions: &mut Vec<Action>) {
-        self.machine.handle_with_context(&input, actions);
+    fn dispatch(&mut self, input: &Input, actions: &mut Vec<Action>) {
+        self.machine.handle_with_context(input, actions);
         // A pre-vote and a vote may both be won at once where the quorum is one.
         self.machine.handle_with_context(&Input::Count, actions);
         self.machine.handle_with_context(&Input::Count, actions);
--- a/crates/celerycove-control/src/placement/plan.rs
+++ b/crates/celerycove-control/src/placement/plan.rs
@@ -278,12 +278,12 @@
                 !candidate.leaving && !candidate.silent && !next.involves(process)
             })
             .min_by_key(|(process, candidate)| {
-                let shared = used
+                let crowd = used
                     .iter()
                     .filter(|dc| **dc == &candidate.data_centre)
                     .count();
                 let load = self.load.get(*process).copied().unwrap_or_default();
-                (shared, load, stable_hash(&format!("{shard}/{process}")))
+                (crowd, load, stable_hash(&format!("{shard}/{process}")))
             })
             .map(|(process, candidate)| Replica {
                 process: process.clone(),
--- a/crates/celerycove-daemon/src/admin.rs
+++ b/crates/celerycove-daemon/src/admin.rs
@@ -45,7 +45,7 @@
             Some("cut") => self.process.links.cut(None),
             Some("heal") => self.process.links.heal(),
             Some(other) => match other.strip_prefix("cut/") {
-                Some(process) => self.process.links.cut(Some(process.into())),
+                Some(process) => self.process.links.cut(Some(&process.into())),
                 None => return answer(StatusCode::NOT_FOUND, "text/plain", "not found"),
             },
             None => return answer(StatusCode::NOT_FOUND, "text/plain", "not found"),
--- a/crates/celerycove-daemon/src/control.rs
+++ b/crates/celerycove-daemon/src/control.rs
@@ -168,8 +168,8 @@
 
 impl Driver {
     fn run(mut self, inputs: &Receiver<Input>) {
-        let _runtime = self.runtime.clone();
-        let _entered = _runtime.enter();
+        let runtime = self.runtime.clone();
+        let _entered = runtime.enter();
         loop {
             match inputs.recv_timeout(TICK) {
                 Ok(input) => self.take(input, inputs),
@@ -262,11 +262,11 @@
             self.share
                 .mirror(self.node.feed(), &state.placement, confirmed);
         }
-        let changes = self.lead.duties(now, &self.node);
-        if !changes.is_empty() {
+        let moves = self.lead.duties(now, &self.node);
+        if !moves.is_empty() {
             self.next += 1;
             let token = self.next;
-            let command = Command::Place(changes);
+            let command = Command::Place(moves);
             self.step(Event::Propose(vec![Proposed { token, command }]));
         }
     }
--- a/crates/celerycove-daemon/src/entry/chat/program.rs
+++ b/crates/celerycove-daemon/src/entry/chat/program.rs
@@ -155,12 +155,11 @@
         } = dispatched;
         let (parts, body) = response.into_parts();
         let collected = tokio::time::timeout(self.setting.answer_timeout.0, body.collect()).await;
-        let bytes = match collected {
-            Ok(Ok(collected)) => collected.to_bytes(),
-            Ok(Err(_)) | Err(_) => {
-                load.failed(self.process.now());
-                return Err(self.lost(&granted, "the answer was cut off").await);
-            }
+        let bytes = if let Ok(Ok(collected)) = collected {
+            collected.to_bytes()
+        } else {
+            load.failed(self.process.now());
+            return Err(self.lost(&granted, "the answer was cut off").await);
         };
         let Ok(known) = parse::answer(&bytes, &backend) else {
             load.failed(self.process.now());
--- a/crates/celerycove-daemon/src/entry/dispatch.rs
+++ b/crates/celerycove-daemon/src/entry/dispatch.rs
@@ -91,14 +91,13 @@
                 attempt += 1;
                 match tried {
                     Tried::Done(dispatched) => return Ok(*dispatched),
-                    Tried::NotRun(why) => last = why,
                     Tried::Unknown(why) if !order.repeatable => {
                         return Err(Refusal::unknown(
                             "backend_failed",
                             format!("the request may have run: {why}"),
                         ));
                     }
-                    Tried::Unknown(why) => last = why,
+                    Tried::NotRun(why) | Tried::Unknown(why) => last = why,
                 }
                 order.need.avoid.push(backend);
                 self.process.metrics.retry();
--- a/crates/celerycove-daemon/src/entry/service.rs
+++ b/crates/celerycove-daemon/src/entry/service.rs
@@ -69,21 +69,18 @@
             headers: passed(&parts.headers),
             body,
         };
-        match parts.headers.get(header::IDEMPOTENCY_KEY) {
-            Some(key) => {
-                let key = key.to_str().ok().filter(|key| label::is_valid(key));
-                let key = key.ok_or_else(|| {
-                    Refusal::field(
-                        "Idempotency-Key",
-                        "letters, digits and -_./: are allowed, 128 at most",
-                    )
-                })?;
-                self.once(name, call, key).await
-            }
-            None => {
-                let dispatched = self.dispatch(order(name, &call)).await?;
-                Ok(Relay::pass(self, dispatched))
-            }
+        if let Some(key) = parts.headers.get(header::IDEMPOTENCY_KEY) {
+            let key = key.to_str().ok().filter(|key| label::is_valid(key));
+            let key = key.ok_or_else(|| {
+                Refusal::field(
+                    "Idempotency-Key",
+                    "letters, digits and -_./: are allowed, 128 at most",
+                )
+            })?;
+            self.once(name, call, key).await
+        } else {
+            let dispatched = self.dispatch(order(name, &call)).await?;
+            Ok(Relay::pass(self, dispatched))
         }
     }
 
@@ -178,9 +175,8 @@
         };
         let concluded = self.ask_home(&key, conclude).await;
         match (result, concluded) {
-            (Ok(served), Ok(_)) => Ok(recorded(served)),
-            // The call ran; without the record a resend would be refused as unknown.
-            (Ok(served), Err(_)) => Ok(recorded(served)),
+            // The call ran, recorded or not; without the record a resend is refused as unknown.
+            (Ok(served), _) => Ok(recorded(served)),
             (Err(refusal), Ok(_)) => Err(refusal),
             (Err(refusal), Err(_)) => Err(Refusal {
                 retry_after: Some(Duration::from_secs(5)),
@@ -192,25 +188,22 @@
     async fn collect(&self, dispatched: Dispatched) -> Result<Served, Refusal> {
         let (parts, body) = dispatched.response.into_parts();
         let collected = tokio::time::timeout(self.setting.answer_timeout.0, body.collect()).await;
-        match collected {
-            Ok(Ok(collected)) => {
-                dispatched.load.served(self.process.now());
-                let content_type = parts.headers.get(CONTENT_TYPE);
-                Ok(Served {
-                    status: parts.status.as_u16(),
-                    content_type: content_type
-                        .and_then(|v| v.to_str().ok())
-                        .map(ToOwned::to_owned),
-                    body: Some(collected.to_bytes().to_vec()),
-                })
-            }
-            Ok(Err(_)) | Err(_) => {
-                dispatched.load.failed(self.process.now());
-                Err(Refusal::unknown(
-                    "answer_cut",
-                    "the call ran, but its answer was cut off",
-                ))
-            }
+        if let Ok(Ok(collected)) = collected {
+            dispatched.load.served(self.process.now());
+            let content_type = parts.headers.get(CONTENT_TYPE);
+            Ok(Served {
+                status: parts.status.as_u16(),
+                content_type: content_type
+                    .and_then(|v| v.to_str().ok())
+                    .map(ToOwned::to_owned),
+                body: Some(collected.to_bytes().to_vec()),
+            })
+        } else {
+            dispatched.load.failed(self.process.now());
+            Err(Refusal::unknown(
+                "answer_cut",
+                "the call ran, but its answer was cut off",
+            ))
         }
     }
 }
--- a/crates/celerycove-daemon/src/home/journal.rs
+++ b/crates/celerycove-daemon/src/home/journal.rs
@@ -41,12 +41,11 @@
         // A folder that can't be created can't be opened either, which is reported then.
         let _ = std::fs::create_dir_all(folder);
         let identity = folder.join("home");
-        let incarnation = match whole::load(&identity)? {
-            Some(known) => known,
-            None => {
-                whole::save(&identity, &incarnation)?;
-                incarnation
-            }
+        let incarnation = if let Some(known) = whole::load(&identity)? {
+            known
+        } else {
+            whole::save(&identity, &incarnation)?;
+            incarnation
         };
         let (journal, recovered) = Journal::open(folder)?;
         let (work, receiver) = channel();
--- a/crates/celerycove-daemon/src/home/limits.rs
+++ b/crates/celerycove-daemon/src/home/limits.rs
@@ -67,14 +67,14 @@
         let (Some(seat), Some(next)) = (self.seats.remove(&shard), &placed.primary) else {
             return;
         };
-        let sent = self.process.now();
-        let Some(estate) = seat.leave(sent) else {
+        let now = self.process.now();
+        let Some(estate) = seat.leave(now) else {
             return;
         };
         let inherit = method::Inherit {
             shard,
             epoch: placed.since,
-            sent,
+            sent: now,
             estate,
         };
         let (peers, next) = (peers.clone(), next.process.clone());
--- a/crates/celerycove-daemon/src/internal.rs
+++ b/crates/celerycove-daemon/src/internal.rs
@@ -121,14 +121,13 @@
         }
         if let Some(rest) = request.uri().path().strip_prefix(PATH) {
             let backend = rest.split('/').next().unwrap_or_default();
-            return match self.sidecars.get(backend) {
-                Some(sidecar) => sidecar.clone().forward(request).await,
-                None => {
-                    let mut response = answer(StatusCode::NOT_FOUND, "text/plain", "no_backend");
-                    let value = hyper::header::HeaderValue::from_static("not-run");
-                    response.headers_mut().insert(header::RUN, value);
-                    response
-                }
+            return if let Some(sidecar) = self.sidecars.get(backend) {
+                sidecar.clone().forward(request).await
+            } else {
+                let mut response = answer(StatusCode::NOT_FOUND, "text/plain", "no_backend");
+                let value = hyper::header::HeaderValue::from_static("not-run");
+                response.headers_mut().insert(header::RUN, value);
+                response
             };
         }
         match self.rpc.get() {
--- a/crates/celerycove-daemon/src/links.rs
+++ b/crates/celerycove-daemon/src/links.rs
@@ -26,10 +26,10 @@
     }
 
     /// Cuts the link to one process, or to all.
-    pub fn cut(&self, process: Option<id::Process>) {
+    pub fn cut(&self, process: Option<&id::Process>) {
         self.cut.rcu(|cut| {
             let mut cut = Cut::clone(cut);
-            match &process {
+            match process {
                 Some(process) => {
                     cut.processes.insert(process.clone());
                 }
--- a/crates/celerycove-daemon/src/operator.rs
+++ b/crates/celerycove-daemon/src/operator.rs
@@ -90,18 +90,18 @@
     }
 }
 
-impl Context {
-    fn not_leader(&self, leader: Option<&id::Process>) -> ErrorObjectOwned {
-        let name = leader.map_or_else(|| "unknown".to_owned(), ToString::to_string);
-        rpc_error(
-            operator::NOT_LEADER,
-            format!("this instance does not lead; the leader is {name}"),
-        )
-    }
+fn not_leader(leader: Option<&id::Process>) -> ErrorObjectOwned {
+    let name = leader.map_or_else(|| "unknown".to_owned(), ToString::to_string);
+    rpc_error(
+        operator::NOT_LEADER,
+        format!("this instance does not lead; the leader is {name}"),
+    )
+}
 
-    fn outcome(&self, answer: Answer) -> Result<Answer, ErrorObjectOwned> {
+impl Context {
+    fn outcome(answer: Answer) -> Result<Answer, ErrorObjectOwned> {
         match answer {
-            Answer::NotLeader(leader) => Err(self.not_leader(leader.as_ref())),
+            Answer::NotLeader(leader) => Err(not_leader(leader.as_ref())),
             Answer::Unknown => Err(rpc_error(
                 operator::UNKNOWN,
                 "the instance stopped leading; resend with the same request id",
@@ -118,7 +118,9 @@
         if summary.leads && fresh {
             return Ok(());
         }
-        Err(self.not_leader(summary.leader.as_ref().filter(|_| !summary.leads)))
+        Err(not_leader(
+            summary.leader.as_ref().filter(|_| !summary.leads),
+        ))
     }
 
     fn status(&self) -> operator::Status {
@@ -192,7 +194,7 @@
         };
         let sidecar =
             sidecar.ok_or_else(|| rpc_error(operator::REFUSED, "the backend server is unknown"))?;
-        let answer = self.outcome(self.control.propose(Command::Fence).await)?;
+        let answer = Self::outcome(self.control.propose(Command::Fence).await)?;
         let Answer::Fenced(fence) = answer else {
             return Err(rpc_error(operator::REFUSED, "no fencing number was given"));
         };
@@ -215,7 +217,7 @@
         } else {
             members.remove(&change.process);
         }
-        self.outcome(self.control.propose(Command::Members(members)).await)?;
+        Self::outcome(self.control.propose(Command::Members(members)).await)?;
         Ok(())
     }
 }
@@ -249,7 +251,7 @@
             let operator = extensions.get::<Operator>();
             proposal.operator = operator.map_or_else(String::new, |operator| operator.0.clone());
             let answer = context.control.propose(Command::Configure(proposal)).await;
-            match context.outcome(answer)? {
+            match Context::outcome(answer)? {
                 Answer::Configured(outcome) => Ok(outcome),
                 _ => Err(rpc_error(operator::REFUSED, "the proposal had no outcome")),
             }
--- a/crates/celerycove-disk/src/journal.rs
+++ b/crates/celerycove-disk/src/journal.rs
@@ -6,7 +6,7 @@
 };
 
 use celerycove_program::{
-    Record,
+    Record, State,
     message::{Image, Position},
 };
 use celerycove_types::id;
@@ -147,7 +147,7 @@
         Line::Record(shard, record) => {
             let image = recovered.entry(shard).or_insert_with(|| Image {
                 last: Position::default(),
-                state: Default::default(),
+                state: State::default(),
             });
             image.state.apply(record.at, &record.op);
             image.last = record.position;
--- a/crates/celerycove-program/src/op.rs
+++ b/crates/celerycove-program/src/op.rs
@@ -176,12 +176,12 @@
                 ending,
             } => self.conclude(at, key, *attempt, ending),
             Op::Forget { programs, keys } => {
-                programs.iter().for_each(|program| {
+                for program in programs {
                     self.programs.remove(program);
-                });
-                keys.iter().for_each(|key| {
+                }
+                for key in keys {
                     self.dispatches.remove(key);
-                });
+                }
             }
         }
     }
--- a/crates/celerycove-proof/src/net.rs
+++ b/crates/celerycove-proof/src/net.rs
@@ -133,7 +133,7 @@
     }
 
     /// Takes the next event; `None` when there is nothing left.
-    pub fn next(&mut self) -> Option<(Place, E)> {
+    pub fn pop(&mut self) -> Option<(Place, E)> {
         let Reverse(queued) = self.queue.pop()?;
         self.now = self.now.max(queued.at);
         Some((queued.to, queued.event))
--- a/crates/celerycove-proof/src/world/control.rs
+++ b/crates/celerycove-proof/src/world/control.rs
@@ -24,7 +24,7 @@
 const PLACES: usize = NODES + FOLLOWERS;
 const TICK: Duration = Duration::from_millis(60);
 const LEASE: Duration = Duration::from_millis(1500);
-const SILENCE: Duration = Duration::from_millis(1000);
+const SILENCE: Duration = Duration::from_secs(1);
 /// How long the run may take to make progress once all faults are healed.
 const RECOVERY: Duration = Duration::from_secs(12);
 
@@ -180,7 +180,7 @@
     }
 
     fn step(&mut self) -> Result<(), Violation> {
-        let Some((to, input)) = self.net.next() else {
+        let Some((to, input)) = self.net.pop() else {
             return Ok(());
         };
         if let Input::Tick = input {
@@ -372,7 +372,7 @@
         let newest = self.accepted.keys().last().copied().unwrap_or(0);
         let guard = guarded.then_some(newest);
         let organisation = Organisation {
-            rate: 1.0 + number as f64,
+            rate: 1.0 + f64::from(u32::try_from(number).unwrap_or(u32::MAX)),
             ..Organisation::default()
         };
         let proposal = Proposal {
@@ -449,7 +449,7 @@
             .iter()
             .filter(|(_, (_, at))| *at + margin <= now)
             .map(|(version, _)| *version)
-            .last()
+            .next_back()
             .unwrap_or(0);
         for (at, follower) in self.followers.iter().enumerate() {
             let valid = follower.freshness().is_valid(self.net.clock(NODES + at));
--- a/crates/celerycove-proof/src/world/limit.rs
+++ b/crates/celerycove-proof/src/world/limit.rs
@@ -115,7 +115,7 @@
     }
 
     fn step(&mut self) -> Result<(), Violation> {
-        let Some((to, input)) = self.net.next() else {
+        let Some((to, input)) = self.net.pop() else {
             return Ok(());
         };
         if matches!(input, Input::Tick) {
@@ -126,15 +126,15 @@
         } else if to < AUTHORITY {
             self.entry_input(to, input)
         } else {
-            self.authority_input(input);
+            self.authority_input(&input);
             Ok(())
         }
     }
 
-    fn authority_input(&mut self, input: Input) {
+    fn authority_input(&mut self, input: &Input) {
         match input {
             Input::Pull(asker) => {
-                let owner = Input::Owner(self.epoch, self.since, self.owner, asker);
+                let owner = Input::Owner(self.epoch, self.since, self.owner, *asker);
                 self.net.send(AUTHORITY, asker.place, owner);
             }
             Input::Tick if self.faults => self.disturb(),
@@ -189,16 +189,16 @@
             Input::Owner(epoch, since, owner, asker) if asker.life == self.lives[to] => {
                 self.follow(to, epoch, since, owner, asker.asked);
             }
-            Input::Inherit(epoch, sent, estate) => {
+            Input::Inherit(epoch, at, estate) => {
                 log::trace!(
-                    "{:?} owner {to} inherits in {epoch} {estate:?} sent {sent:?} now {now:?}",
+                    "{:?} owner {to} inherits in {epoch} {estate:?} sent {at:?} now {now:?}",
                     self.net.now()
                 );
                 match &mut self.owners[to].seat {
                     Some(seat) => {
-                        seat.inherit(epoch, now, sent, estate);
+                        seat.inherit(epoch, now, at, estate);
                     }
-                    None => self.owners[to].early = Some((epoch, sent, estate)),
+                    None => self.owners[to].early = Some((epoch, at, estate)),
                 }
             }
             Input::Ask(asker, ask) => {
@@ -258,8 +258,8 @@
             if !stays {
                 own.seat = Some(Seat::begin(since, now, PROOF, since == 1));
             }
-            if let (Some(seat), Some((epoch, sent, estate))) = (&mut own.seat, own.early.take()) {
-                seat.inherit(epoch, now, sent, estate);
+            if let (Some(seat), Some((epoch, at, estate))) = (&mut own.seat, own.early.take()) {
+                seat.inherit(epoch, now, at, estate);
             }
         } else if let Some(estate) = own.seat.take().and_then(|seat| seat.leave(now)) {
             let inherit = Input::Inherit(since, now, estate);
--- a/crates/celerycove-proof/src/world/program.rs
+++ b/crates/celerycove-proof/src/world/program.rs
@@ -34,6 +34,8 @@
 
 /// Names one life of a process.
 type Incarnation = u64;
+/// Shards and epochs whose learners are up to date.
+type Learned = Vec<(id::Shard, id::Epoch)>;
 
 #[derive(Debug, Clone)]
 enum Input {
@@ -46,11 +48,7 @@
     AskAgain(Op, Phase),
     Synced(Incarnation, id::Shard, Position),
     View(Placement),
-    Announce(
-        Place,
-        (Incarnation, Incarnation),
-        Vec<(id::Shard, id::Epoch)>,
-    ),
+    Announce(Place, (Incarnation, Incarnation), Learned),
     Confirm(Place, id::Shard, Vec<id::Request>),
     Abandoned(id::Shard, Vec<id::Request>),
     RestartHome,
@@ -72,14 +70,7 @@
     incarnations: Incarnation,
     entries: Vec<Option<Entry>>,
     placement: Placement,
-    heard: BTreeMap<
-        Place,
-        (
-            Timestamp,
-            (Incarnation, Incarnation),
-            Vec<(id::Shard, id::Epoch)>,
-        ),
-    >,
+    heard: BTreeMap<Place, (Timestamp, (Incarnation, Incarnation), Learned)>,
     callers: Callers,
     /// Lives of entries that are over, and from when the homes know it.
     over: Vec<(Timestamp, id::Process)>,
@@ -156,7 +147,7 @@
     }
 
     fn step(&mut self) -> Result<(), Violation> {
-        let Some((to, input)) = self.net.next() else {
+        let Some((to, input)) = self.net.pop() else {
             return Ok(());
         };
         if matches!(input, Input::Tick) {
@@ -286,7 +277,7 @@
                 }
             }
             Input::Reply(op, phase, response) => self.reply(entry, op, phase, &response)?,
-            Input::Ran(op, ran) => self.ran(entry, op, ran)?,
+            Input::Ran(op, ran) => self.ran(entry, op, ran),
             Input::Confirm(home, shard, requests) if self.entries[entry].is_some() => {
                 let abandoned: Vec<id::Request> = requests
                     .into_iter()
@@ -297,10 +288,8 @@
                         .send(HOMES + entry, home, Input::Abandoned(shard, abandoned));
                 }
             }
-            Input::AskAgain(op, phase) => {
-                if self.callers.waits(entry, op, phase) {
-                    self.ask(entry, op, phase);
-                }
+            Input::AskAgain(op, phase) if self.callers.waits(entry, op, phase) => {
+                self.ask(entry, op, phase);
             }
             _ => {}
         }
@@ -370,13 +359,12 @@
         Ok(())
     }
 
-    fn ran(&mut self, entry: usize, op: Op, ran: bool) -> Result<(), Violation> {
+    fn ran(&mut self, entry: usize, op: Op, ran: bool) {
         // Sometimes the answer is lost on its way, and the entry can't know whether it ran.
         let lost = self.net.chance(0.08);
-        if self.callers.end_dispatch(entry, op, ran, lost)? {
+        if self.callers.end_dispatch(entry, op, ran, lost) {
             self.ask(entry, op, Phase::Ending);
         }
-        Ok(())
     }
 
     /// Heals everything and expects every caller to get on.
--- a/crates/celerycove-proof/src/world/program/callers.rs
+++ b/crates/celerycove-proof/src/world/program/callers.rs
@@ -61,7 +61,7 @@
 
 /// Callers and running calls.
 pub(super) struct Callers {
-    callers: Vec<Caller>,
+    all: Vec<Caller>,
     running: BTreeMap<Op, Running>,
     next: Op,
     /// Tokens that engines really spent, by program.
@@ -78,7 +78,7 @@
 impl Callers {
     pub(super) fn new() -> Self {
         Self {
-            callers: (0..CALLERS).map(|_| Caller::default()).collect(),
+            all: (0..CALLERS).map(|_| Caller::default()).collect(),
             running: BTreeMap::new(),
             next: 0,
             spent: BTreeMap::new(),
@@ -88,7 +88,7 @@
     }
 
     /// Two chains share a program, as a sub-agent does with its parent.
-    fn program(&self, caller: usize, generation: u64) -> id::Program {
+    fn program(caller: usize, generation: u64) -> id::Program {
         format!("p{}.{generation}", caller / 2).into()
     }
 
@@ -110,7 +110,7 @@
     }
 
     pub(super) fn progress(&self) -> Vec<u64> {
-        self.callers.iter().map(|caller| caller.progress).collect()
+        self.all.iter().map(|caller| caller.progress).collect()
     }
 
     /// Whether an entry still runs a request.
@@ -126,7 +126,7 @@
     }
 
     pub(super) fn resend_overdue(&mut self, now: Timestamp) {
-        for caller in &mut self.callers {
+        for caller in &mut self.all {
             if caller.sent.is_some_and(|sent| now >= sent + PATIENCE) {
                 caller.sent = None;
             }
@@ -147,10 +147,10 @@
         rng: &mut impl Rng,
     ) -> Option<(Op, Phase)> {
         let idle: Vec<usize> = (0..CALLERS)
-            .filter(|c| self.callers[*c].sent.is_none())
+            .filter(|c| self.all[*c].sent.is_none())
             .collect();
         let caller = *idle.get(rng.random_range(0..idle.len().max(1)))?;
-        let state = &mut self.callers[caller];
+        let state = &mut self.all[caller];
         state.sent = Some(now);
         let phase = if state.opened || is_payer(caller) {
             Phase::Beginning
@@ -181,13 +181,13 @@
         if is_payer(running.caller) {
             return Self::key(running.caller, running.generation);
         }
-        self.program(running.caller, running.generation)
+        Self::program(running.caller, running.generation)
     }
 
     /// The question that an op asks in a phase; the same each time.
     pub(super) fn request(&self, op: Op, phase: Phase) -> Option<Request> {
         let running = self.running.get(&op)?;
-        let program = self.program(running.caller, running.generation);
+        let program = Self::program(running.caller, running.generation);
         let key = Self::key(running.caller, running.generation);
         let name = CallName {
             program: program.clone(),
@@ -278,7 +278,7 @@
 
     fn open(&mut self, op: Op) {
         if let Some(running) = self.running.remove(&op) {
-            let caller = &mut self.callers[running.caller];
+            let caller = &mut self.all[running.caller];
             if caller.generation == running.generation {
                 caller.opened = true;
                 caller.sent = None;
@@ -291,7 +291,7 @@
         let Some(running) = self.running.get(&op) else {
             return Ok(());
         };
-        let caller = &self.callers[running.caller];
+        let caller = &self.all[running.caller];
         let told: Vec<Turn> = caller
             .told
             .iter()
@@ -352,7 +352,7 @@
             completion_tokens,
             backend: "b".into(),
         };
-        let program = self.program(running.caller, running.generation);
+        let program = Self::program(running.caller, running.generation);
         let spent = self.spent.entry(program.clone()).or_default();
         *spent += prompt_tokens + completion_tokens;
         let spent = *spent;
@@ -365,19 +365,13 @@
     }
 
     /// The entry learns how the dispatch ended; true if it has to tell the home.
-    pub(super) fn end_dispatch(
-        &mut self,
-        entry: usize,
-        op: Op,
-        ran: bool,
-        lost: bool,
-    ) -> Result<bool, Violation> {
+    pub(super) fn end_dispatch(&mut self, entry: usize, op: Op, ran: bool, lost: bool) -> bool {
         let Some(running) = self.running.get_mut(&op).filter(|r| r.entry == entry) else {
-            return Ok(false);
+            return false;
         };
         running.ending = if lost { None } else { Some(ran) };
         running.phase = Phase::Ending;
-        Ok(true)
+        true
     }
 
     fn ended(&mut self, op: Op) -> Result<(), Violation> {
@@ -403,7 +397,7 @@
 
     fn tell_failed(&mut self, op: Op) {
         if let Some(running) = self.running.remove(&op) {
-            let caller = &mut self.callers[running.caller];
+            let caller = &mut self.all[running.caller];
             if caller.generation == running.generation {
                 caller.sent = None;
             }
@@ -423,7 +417,7 @@
         let Some(running) = self.running.remove(&op) else {
             return Ok(());
         };
-        let caller = &mut self.callers[running.caller];
+        let caller = &mut self.all[running.caller];
         if caller.generation != running.generation {
             return Ok(());
         }
@@ -454,7 +448,7 @@
             caller / 2 * 2..=caller / 2 * 2 + 1
         };
         for caller in pair {
-            let state = &mut self.callers[caller];
+            let state = &mut self.all[caller];
             if state.generation == generation {
                 let progress = state.progress + 1;
                 *state = Caller {
@@ -472,15 +466,11 @@
             return Ok(());
         };
         let (caller, generation) = (running.caller, running.generation);
-        let current = self.callers[caller].generation == generation;
+        let current = self.all[caller].generation == generation;
         match refusal {
-            Refusal::Budget { .. } => {
-                self.running.remove(&op);
-                self.next_generation(caller, generation);
-                Ok(())
-            }
-            // The payment may have run; it is never sent again, and the caller gives up on it.
-            Refusal::Unknown => {
+            // The budget is spent, or the payment may have run and is never sent again: the caller
+            // gives up on it.
+            Refusal::Budget { .. } | Refusal::Unknown => {
                 self.running.remove(&op);
                 self.next_generation(caller, generation);
                 Ok(())
--- a/crates/celerycove-proof/src/world/program/homes.rs
+++ b/crates/celerycove-proof/src/world/program/homes.rs
@@ -177,11 +177,11 @@
         place: Place,
         id: id::Shard,
         dispatcher: &id::Process,
-        requests: Vec<id::Request>,
+        requests: &[id::Request],
     ) {
         for entry in 0..ENTRIES {
             if self.dispatcher(entry).as_ref() == Some(dispatcher) {
-                let requests = requests.clone();
+                let requests = requests.to_vec();
                 self.net
                     .send(place, HOMES + entry, Input::Confirm(place, id, requests));
             }
@@ -296,7 +296,7 @@
             Action::Confirm {
                 dispatcher,
                 requests,
-            } => self.confirm(place, id, &dispatcher, requests),
+            } => self.confirm(place, id, &dispatcher, &requests),
             Action::Release { .. } => {}
         }
     }
--- a/crates/celerycove-proof/src/world/queue.rs
+++ b/crates/celerycove-proof/src/world/queue.rs
@@ -89,7 +89,7 @@
     }
 
     fn step(&mut self) -> Result<(), Violation> {
-        let Some((_, input)) = self.net.next() else {
+        let Some((_, input)) = self.net.pop() else {
             return Ok(());
         };
         match input {
--- a/crates/celerycove-route/src/choose.rs
+++ b/crates/celerycove-route/src/choose.rs
@@ -122,7 +122,9 @@
     probe(pool, options.probes, rng, &mut list);
     if list.count == 0 {
         // All that were probed refused; look at every one before giving up.
-        pool.members().iter().for_each(|member| list.add(member));
+        for member in pool.members() {
+            list.add(member);
+        }
     }
     // Ejection is advice: where all are ejected, they are weighed all the same.
     let candidates = || list.weighed.iter().flatten().copied();
@@ -151,7 +153,9 @@
 fn probe<'a>(pool: &'a Pool, probes: usize, rng: &mut impl Rng, list: &mut Shortlist<'a, '_>) {
     let members = pool.members();
     if members.len() <= probes {
-        members.iter().for_each(|member| list.add(member));
+        for member in members {
+            list.add(member);
+        }
         return;
     }
     let local = pool.local();
--- a/crates/celerycove-settings/src/read.rs
+++ b/crates/celerycove-settings/src/read.rs
@@ -173,15 +173,12 @@
                 let single = T::deserialize(MapDeserializer::new(alone));
                 single.is_err_and(|alone: Error| alone.0 == error.0 && !alone.is_missing())
             });
-            match culprit {
-                Some(culprit) => {
-                    let (key, _) = pairs.remove(culprit);
-                    self.fault(heading, key, &error.0);
-                }
-                None => {
-                    self.fault(heading, "-", &error.0);
-                    return None;
-                }
+            if let Some(culprit) = culprit {
+                let (key, _) = pairs.remove(culprit);
+                self.fault(heading, key, &error.0);
+            } else {
+                self.fault(heading, "-", &error.0);
+                return None;
             }
         }
     }
@@ -266,7 +263,7 @@
 #[derive(Clone, Copy)]
 struct Value<'a>(&'a str);
 
-impl<'de> IntoDeserializer<'de, Error> for Value<'_> {
+impl IntoDeserializer<'_, Error> for Value<'_> {
     type Deserializer = Text;
 
     fn into_deserializer(self) -> Text {
--- a/crates/celerycove-sync/src/children.rs
+++ b/crates/celerycove-sync/src/children.rs
@@ -16,13 +16,13 @@
     /// The process that passed the announcement on, itself for a direct child.
     via: id::Process,
     /// The directory's term in which upstream has the announcement.
-    known: Option<Term>,
+    upstream: Option<Term>,
 }
 
 /// Announcements kept for upstream, and how far the configuration has spread.
 #[derive(Debug, Clone, Default)]
 pub struct Children {
-    children: BTreeMap<id::Process, Child>,
+    known: BTreeMap<id::Process, Child>,
     direct: BTreeMap<id::Process, (Timestamp, Spread)>,
     asked: Vec<Announcement>,
 }
@@ -33,17 +33,17 @@
         let heard = (now, pull.spread.clone());
         self.direct.insert(pull.process.clone(), heard);
         for announcement in &pull.announcements {
-            let known = self.children.get(&announcement.process);
+            let known = self.known.get(&announcement.process);
             let newer = known.is_none_or(|c| announcement.is_newer(&c.announcement));
             let child = Child {
                 announcement: announcement.clone(),
                 via: pull.process.clone(),
-                known: known.filter(|_| !newer).and_then(|c| c.known),
+                upstream: known.filter(|_| !newer).and_then(|c| c.upstream),
             };
-            self.children.insert(announcement.process.clone(), child);
+            self.known.insert(announcement.process.clone(), child);
         }
         for silent in &pull.silent {
-            self.children
+            self.known
                 .retain(|process, child| process != silent || child.via != pull.process);
         }
     }
@@ -51,9 +51,9 @@
     /// Gives the announcements that upstream lacks in `term`.
     pub fn unknown(&mut self, term: Term) -> Vec<Announcement> {
         self.asked = self
-            .children
+            .known
             .values()
-            .filter(|child| child.known != Some(term))
+            .filter(|child| child.upstream != Some(term))
             .map(|child| child.announcement.clone())
             .collect();
         self.asked.clone()
@@ -62,10 +62,10 @@
     /// Notes that upstream took the announcements last given, in `term`.
     pub fn taken(&mut self, term: Term) {
         for announcement in std::mem::take(&mut self.asked) {
-            if let Some(child) = self.children.get_mut(&announcement.process)
+            if let Some(child) = self.known.get_mut(&announcement.process)
                 && child.announcement == announcement
             {
-                child.known = Some(term);
+                child.upstream = Some(term);
             }
         }
     }
@@ -75,13 +75,13 @@
         self.direct.retain(|_, (heard, _)| now < *heard + timeout);
         let direct = &self.direct;
         let silent: Vec<id::Process> = self
-            .children
+            .known
             .iter()
             .filter(|(_, child)| !direct.contains_key(&child.via))
             .map(|(process, _)| process.clone())
             .collect();
         for process in &silent {
-            self.children.remove(process);
+            self.known.remove(process);
         }
         silent
     }
