--- a/crates/celerycove-daemon/src/entry/admit.rs
+++ b/crates/celerycove-daemon/src/entry/admit.rs
@@ -23,10 +23,7 @@
     /// The configuration, if it is surely the newest.
     pub(super) fn fresh_config(&self) -> Result<Arc<Config>, Refusal> {
         if !self.share.is_fresh(self.process.now()) {
-            return Err(Refusal::unavailable(
-                "stale",
-                "this entry can't prove that its configuration is the newest",
-            ));
+            return Err(Refusal::stale());
         }
         Ok(self.share.view().config.clone())
     }
--- a/crates/celerycove-daemon/src/entry/limit.rs
+++ b/crates/celerycove-daemon/src/entry/limit.rs
@@ -103,6 +103,9 @@
             if account.purse.spend(now) {
                 return Ok(());
             }
+            if !self.share.is_fresh(now) {
+                return Err(Refusal::stale());
+            }
             if now >= deadline {
                 return Err(Refusal::unavailable(
                     "rate_unknown",
--- a/crates/celerycove-daemon/src/entry/refuse.rs
+++ b/crates/celerycove-daemon/src/entry/refuse.rs
@@ -54,6 +54,14 @@
         refusal.after(Duration::from_secs(1))
     }
 
+    /// The configuration may not be the newest.
+    pub fn stale() -> Self {
+        Self::unavailable(
+            "stale",
+            "this entry can't prove that its configuration is the newest",
+        )
+    }
+
     /// Something that may have run.
     pub fn unknown(code: &'static str, message: impl Into<String>) -> Self {
         Self {
--- a/crates/celerycove-sync/src/children.rs
+++ b/crates/celerycove-sync/src/children.rs
@@ -1,6 +1,9 @@
 //! What a relay knows of the processes that pull from it.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use celerycove_types::{Timestamp, id};
 
@@ -25,6 +28,9 @@
     known: BTreeMap<id::Process, Child>,
     direct: BTreeMap<id::Process, (Timestamp, Spread)>,
     asked: Vec<Announcement>,
+    /// Processes that are silent, until upstream has been told.
+    silent: BTreeSet<id::Process>,
+    told: Vec<id::Process>,
 }
 
 impl Children {
@@ -40,11 +46,19 @@
                 via: pull.process.clone(),
                 upstream: known.filter(|_| !newer).and_then(|c| c.upstream),
             };
+            self.silent.remove(&announcement.process);
             self.known.insert(announcement.process.clone(), child);
         }
         for silent in &pull.silent {
-            self.known
-                .retain(|process, child| process != silent || child.via != pull.process);
+            // A child that found another way here is not silent.
+            if self
+                .known
+                .get(silent)
+                .is_some_and(|child| child.via == pull.process)
+            {
+                self.known.remove(silent);
+                self.silent.insert(silent.clone());
+            }
         }
     }
 
@@ -59,8 +73,11 @@
         self.asked.clone()
     }
 
-    /// Notes that upstream took the announcements last given, in `term`.
+    /// Notes that upstream took what it was last told, in `term`.
     pub fn taken(&mut self, term: Term) {
+        for process in std::mem::take(&mut self.told) {
+            self.silent.remove(&process);
+        }
         for announcement in std::mem::take(&mut self.asked) {
             if let Some(child) = self.known.get_mut(&announcement.process)
                 && child.announcement == announcement
@@ -70,20 +87,16 @@
         }
     }
 
-    /// Drops the children silent for `timeout` and gives them.
+    /// Drops the children silent for `timeout`, and gives all that upstream has not been told of.
     pub fn silent(&mut self, now: Timestamp, timeout: Duration) -> Vec<id::Process> {
         self.direct.retain(|_, (heard, _)| now < *heard + timeout);
         let direct = &self.direct;
-        let silent: Vec<id::Process> = self
+        let gone = self
             .known
-            .iter()
-            .filter(|(_, child)| !direct.contains_key(&child.via))
-            .map(|(process, _)| process.clone())
-            .collect();
-        for process in &silent {
-            self.known.remove(process);
-        }
-        silent
+            .extract_if(.., |_, child| !direct.contains_key(&child.via));
+        self.silent.extend(gone.map(|(process, _)| process));
+        self.told = self.silent.iter().cloned().collect();
+        self.told.clone()
     }
 
     /// How far the configuration has spread among the children.
