--- /dev/null
+++ b/crates/celerycove-bench/src/fixture.rs
@@ -0,0 +1,221 @@
+//! What is measured, at any size.
+
+use std::sync::Arc;
+
+use celerycove_config::{Change, Config, Organisation, Proposal, Store, document::Key};
+use celerycove_control::{
+    Placement,
+    placement::{
+        apply, create,
+        plan::{Candidate, Candidates, Options, plan},
+    },
+};
+use celerycove_program::{
+    Request,
+    op::{Answer, CallName, Ending},
+};
+use celerycove_route::{Pool, Stats, pool::Target};
+use celerycove_sync::{
+    Announcement, Backend, Directory, Life,
+    announce::{Kind, Model},
+};
+use celerycove_types::{Labels, id};
+
+/// Data centres of the size to design for.
+pub const DATA_CENTRES: usize = 15;
+
+/// A data centre by number.
+#[must_use]
+pub fn data_centre(n: usize) -> id::DataCentre {
+    format!("dc-{}", n % DATA_CENTRES).into()
+}
+
+/// A process beside an engine, as it is announced.
+#[must_use]
+pub fn announcement(n: usize) -> Announcement {
+    Announcement {
+        process: format!("beside-engine-{n}").into(),
+        incarnation: 1_790_000_000_000_000,
+        revision: 1,
+        data_centre: data_centre(n),
+        address: ([10, 0, 0, 1], 7301).into(),
+        life: Life::Serving,
+        home: Some(1_790_000_000_000_000),
+        learned: Vec::new(),
+        backend: Some(Backend {
+            id: format!("engine-{n}").into(),
+            kind: Kind::Engine,
+            labels: Labels::from([("tier".to_owned(), "standard".to_owned())]),
+            models: vec![Model {
+                name: "drafter".to_owned(),
+                version: "1".to_owned(),
+                adapters: Vec::new(),
+            }],
+            route: None,
+            capacity: 16,
+            failing: false,
+        }),
+        relay: false,
+    }
+}
+
+/// A directory of so many processes.
+#[must_use]
+pub fn directory(processes: usize) -> Directory {
+    let mut directory = Directory::default();
+    let now = std::time::Duration::from_secs(1);
+    directory.begin(1, now);
+    let relay: id::Process = "relay".into();
+    for n in 0..processes {
+        directory.hear(&announcement(n), &relay, now);
+    }
+    directory
+}
+
+/// A pool of so many backend servers.
+#[must_use]
+pub fn pool(members: usize) -> Pool {
+    let directory = directory(members);
+    Pool::build(
+        &Config::default(),
+        directory.live(),
+        &Labels::new(),
+        &Target::Model("drafter".to_owned()),
+        &data_centre(0),
+        |_| Arc::new(Stats::default()),
+    )
+}
+
+/// The processes that may hold shards.
+#[must_use]
+pub fn candidates(processes: usize) -> Candidates {
+    (0..processes)
+        .map(|n| {
+            let candidate = Candidate {
+                incarnation: 1,
+                life: 1,
+                data_centre: data_centre(n),
+                silent: false,
+                leaving: false,
+                learned: Vec::new(),
+            };
+            (format!("beside-engine-{n}").into(), candidate)
+        })
+        .collect()
+}
+
+/// A placement of so many shards over so many processes.
+#[must_use]
+pub fn placement(shards: id::Shard, processes: usize) -> Placement {
+    let mut placement = Placement::default();
+    apply(&mut placement, &create(shards));
+    let candidates = candidates(processes);
+    let options = Options {
+        changes: usize::MAX,
+        ..Options::default()
+    };
+    let changes = plan(&placement, &candidates, options);
+    apply(&mut placement, &changes);
+    placement
+}
+
+/// A change like those of a day.
+#[must_use]
+pub fn proposal(n: usize, organisations: usize) -> Proposal {
+    let organisation = n % organisations;
+    Proposal {
+        request: format!("request-{n}").into(),
+        operator: "admin".to_owned(),
+        if_version: None,
+        changes: vec![Change::Organisation {
+            id: format!("organisation-{organisation}").into(),
+            organisation: Some(Organisation {
+                rate: 10.0,
+                burst: 20 + u32::try_from(n % 7).unwrap_or(0),
+                weight: 1,
+            }),
+        }],
+    }
+}
+
+/// A store with so many organisations, two keys each.
+#[must_use]
+pub fn store(organisations: usize) -> Store {
+    let mut store = Store::default();
+    for n in 0..organisations {
+        store.propose(&proposal(n, organisations));
+        for key in 0..2 {
+            let change = Change::Issue {
+                id: format!("key-{n}-{key}").into(),
+                key: Key {
+                    organisation: format!("organisation-{n}").into(),
+                    digest: "0".repeat(64),
+                },
+            };
+            store.propose(&Proposal {
+                request: format!("issue-{n}-{key}").into(),
+                operator: "admin".to_owned(),
+                if_version: None,
+                changes: vec![change],
+            });
+        }
+    }
+    store
+}
+
+/// The request that opens a program.
+#[must_use]
+pub fn open(program: &str) -> Request {
+    Request::Open {
+        program: program.into(),
+        organisation: "organisation-1".into(),
+        budget: Some(100_000_000),
+        deadline: None,
+    }
+}
+
+/// The request that begins a call, with a new turn of so many bytes.
+#[must_use]
+pub fn begin(program: &str, call: id::Call, bytes: usize) -> Request {
+    Request::Begin {
+        name: name(program, call),
+        organisation: "organisation-1".into(),
+        digest: "0".repeat(64).into(),
+        turns: vec![message("user", bytes)],
+        turn_tokens: bytes as id::Tokens,
+        max_tokens: Some(256),
+        default_tokens: 1024,
+        request: format!("entry-1-{program}-{call}").into(),
+        entry: "entry-1#1790000000000000".into(),
+    }
+}
+
+/// The request that settles it, with an answer of so many bytes.
+#[must_use]
+pub fn settle(program: &str, call: id::Call, bytes: usize) -> Request {
+    Request::Settle {
+        name: name(program, call),
+        attempt: 1,
+        ending: Ending::Done(Answer {
+            message: message("assistant", bytes),
+            finish: "stop".into(),
+            model: "drafter".into(),
+            prompt_tokens: bytes as id::Tokens / 4,
+            completion_tokens: bytes as id::Tokens / 4,
+            backend: "engine-1".into(),
+        }),
+    }
+}
+
+fn name(program: &str, call: id::Call) -> CallName {
+    CallName {
+        program: program.into(),
+        agent: "main".into(),
+        call,
+    }
+}
+
+fn message(role: &str, bytes: usize) -> Arc<str> {
+    let content = "x".repeat(bytes);
+    format!("{{\"role\":\"{role}\",\"content\":\"{content}\"}}").into()
+}
