--- a/crates/celerycove-bench/src/main.rs
+++ b/crates/celerycove-bench/src/main.rs
@@ -1,6 +1,6 @@
 //! `celerycove-bench slopes` and `celerycove-bench overhead`.
 
-use std::{path::PathBuf, process::ExitCode, time::Duration};
+use std::{path::Path, process::ExitCode, time::Duration};
 
 use celerycove_bench::{overhead, slopes};
 
@@ -15,7 +15,7 @@
     }
 }
 
-fn run(folder: PathBuf) -> Result<(), Box<dyn std::error::Error>> {
+fn run(folder: &Path) -> Result<(), Box<dyn std::error::Error>> {
     let mut flags = getopts::Options::new();
     flags.optopt(
         "",
@@ -27,7 +27,7 @@
     flags.optflag("h", "help", "print this text");
     let matches = flags.parse(std::env::args().skip(1))?;
     match matches.free.first().map(String::as_str) {
-        Some("slopes") => slopes::run(&folder),
+        Some("slopes") => slopes::run(folder),
         Some("overhead") => {
             let options = overhead::Options {
                 rate: number(&matches, "rate", 500)?,
@@ -38,7 +38,7 @@
             let daemon = beside.with_file_name("celerycoved");
             let cli = beside.with_file_name("celerycove");
             let runtime = tokio::runtime::Runtime::new()?;
-            runtime.block_on(overhead::run(&folder, &daemon, &cli, options))
+            runtime.block_on(overhead::run(folder, &daemon, &cli, options))
         }
         _ => {
             println!("{}", flags.usage(HELP));
@@ -49,7 +49,7 @@
 
 fn main() -> ExitCode {
     let folder = std::env::temp_dir().join(format!("celerycove-bench-{}", std::process::id()));
-    let result = run(folder.clone());
+    let result = run(&folder);
     // What is left in the folder of temporary files harms nothing.
     let _ = std::fs::remove_dir_all(folder);
     match result {
--- a/crates/celerycove-bench/src/measure.rs
+++ b/crates/celerycove-bench/src/measure.rs
@@ -40,9 +40,9 @@
 /// Gives the memory in bytes that building something adds, with what was built.
 pub fn memory<T>(build: impl FnOnce() -> T) -> (f64, T) {
     let before = resident();
-    let built = build();
+    let result = build();
     let added = resident().saturating_sub(before);
-    (to_float(added), built)
+    (to_float(added), result)
 }
 
 /// Turns a count into a float for a figure.
--- a/crates/celerycove-bench/src/overhead.rs
+++ b/crates/celerycove-bench/src/overhead.rs
@@ -147,7 +147,7 @@
         for call in calls {
             served += u32::from(call.await.is_some());
         }
-        if began.elapsed() > Duration::from_secs(60) {
+        if began.elapsed() > Duration::from_mins(1) {
             return Err("the deployment does not serve".into());
         }
     }
--- a/crates/celerycove-bench/src/slopes.rs
+++ b/crates/celerycove-bench/src/slopes.rs
@@ -96,7 +96,7 @@
     let loan = celerycove_limit::Loan {
         id: 1,
         tokens: u32::MAX,
-        lasts: Duration::from_secs(3600),
+        lasts: Duration::from_hours(1),
         retry: Duration::ZERO,
         outstanding: false,
     };
--- a/crates/celerycove-config/src/apply.rs
+++ b/crates/celerycove-config/src/apply.rs
@@ -16,6 +16,9 @@
     /// A key id is taken.
     #[error("could not issue a key: id {0:?} is taken")]
     KeyTaken(String),
+    /// A key id has the character that parts it from the secret.
+    #[error("could not issue a key: id {0:?} has an underscore")]
+    KeyId(String),
     /// The key to withdraw is unknown.
     #[error("could not withdraw the key: id {0:?} is unknown")]
     UnknownKey(String),
@@ -103,6 +106,9 @@
         }
         Change::Issue { id, key } => {
             valid(id)?;
+            if id.contains('_') {
+                return Err(Error::KeyId(id.to_string()));
+            }
             if !config.organisations.contains_key(&key.organisation) {
                 return Err(Error::UnknownOrganisation(key.organisation.to_string()));
             }
