--- a/crates/celerycove-bench/src/overhead.rs
+++ b/crates/celerycove-bench/src/overhead.rs
@@ -1,24 +1,38 @@
 //! The overhead of entry and sidecar against calling the same stand-in directly, in one run.
 
 use std::{
+    fs::Permissions,
     net::SocketAddr,
+    os::unix::fs::PermissionsExt,
     path::Path,
     process::{Child, Command, Stdio},
     sync::Arc,
     time::{Duration, Instant},
 };
 
-use celerycove_daemon::http::{HttpClient, client, full};
+use celerycove_daemon::{
+    http::{HttpClient, client, full},
+    peer::rpc_client,
+};
 use celerycove_standin::{Engine, engine};
+use celerycove_sync::{Follower, Reply};
+use celerycove_wire::{header, method};
 use hdrhistogram::Histogram;
 use http_body_util::BodyExt;
 use hyper::Request;
+use jsonrpsee::core::client::ClientT;
 use tokio::sync::Mutex;
 
-use crate::measure::{resident_of, to_float};
+use crate::{
+    fixture::announcement,
+    measure::{resident_of, to_float},
+};
 
 const BODY: &str = "{\"model\":\"drafter\",\"stream\":true,\"max_tokens\":8,\"messages\":[{\"role\":\"user\",\"content\":\"Draft an order for forty jackets\"}]}";
 
+/// The secret of the deployment measured.
+const SECRET: &str = "a-secret-for-measuring";
+
 /// How a run goes.
 #[derive(Debug, Clone, Copy)]
 pub struct Options {
@@ -48,7 +62,7 @@
 fn settings(
     folder: &Path,
     engine: SocketAddr,
-) -> std::io::Result<(String, SocketAddr, SocketAddr)> {
+) -> std::io::Result<(String, SocketAddr, SocketAddr, SocketAddr)> {
     let (listen, operator, entry) = (free()?, free()?, free()?);
     let folder = folder.display();
     let text = format!(
@@ -59,7 +73,7 @@
          [home]\n[entry]\nlisten = {entry}\n\
          [sidecar engine]\nkind = engine\nbackend = {engine}\nmodels = drafter\ncapacity = 256\n"
     );
-    Ok((text, entry, operator))
+    Ok((text, entry, operator, listen))
 }
 
 /// Runs the daemon at `daemon` and the command line at `cli`, and prints the comparison.
@@ -76,7 +90,9 @@
         ..engine::Options::default()
     });
     let direct = engine.serve(([127, 0, 0, 1], 0).into()).await?;
-    let (text, entry, operator) = settings(folder, direct)?;
+    let (text, entry, operator, listen) = settings(folder, direct)?;
+    std::fs::write(folder.join("cluster"), SECRET)?;
+    std::fs::set_permissions(folder.join("cluster"), Permissions::from_mode(0o600))?;
     let config = folder.join("bench.ini");
     std::fs::write(&config, text)?;
     let child = Command::new(daemon)
@@ -88,6 +104,7 @@
     let _daemon = Daemon(child);
     tokio::time::sleep(Duration::from_secs(3)).await;
     let idle = resident_of(&id);
+    pulls(listen, &id).await?;
     let key = key(folder, cli, operator)?;
     warm(entry, &key).await?;
     let (direct, through) = compare(direct, entry, &key, options).await;
@@ -136,6 +153,55 @@
     run(&["key", "issue", "bench"])
 }
 
+/// Measures idle pulls of shared state over the wire.
+async fn pulls(listen: SocketAddr, id: &str) -> Result<(), Error> {
+    const PULLS: u32 = 4000;
+    let headers = [(header::CLUSTER, SECRET), (header::FROM, "child")];
+    let client = rpc_client(listen, &headers)?;
+    let mut follower = Follower::new(Duration::from_secs(4), Duration::from_secs(3));
+    let pull = follower.pull(Duration::from_secs(1), announcement(1));
+    let began = Instant::now();
+    let before = processor_time(id);
+    for _ in 0..PULLS {
+        let parameters = ArrayParams::from(&pull)?;
+        let reply: Option<Reply> = client.request(method::PULL, parameters).await?;
+        if reply.is_none() {
+            return Err("nothing to pull yet".into());
+        }
+    }
+    println!(
+        "one pull over the wire: {:.1} us there and back, {:.1} us of the upstream's processor",
+        began.elapsed().as_secs_f64() * 1e6 / f64::from(PULLS),
+        (processor_time(id) - before).as_secs_f64() * 1e6 / f64::from(PULLS),
+    );
+    Ok(())
+}
+
+/// One parameter of a method.
+struct ArrayParams;
+
+impl ArrayParams {
+    fn from<T: serde::Serialize>(value: &T) -> Result<jsonrpsee::core::params::ArrayParams, Error> {
+        let mut parameters = jsonrpsee::core::params::ArrayParams::new();
+        parameters.insert(value)?;
+        Ok(parameters)
+    }
+}
+
+/// Processor time that a process has used.
+fn processor_time(id: &str) -> Duration {
+    const TICK: Duration = Duration::from_millis(10);
+    let stat = std::fs::read_to_string(format!("/proc/{id}/stat")).unwrap_or_default();
+    let after_name = stat.rsplit(')').next().unwrap_or_default();
+    let ticks = |at: usize| {
+        after_name
+            .split_whitespace()
+            .nth(at)
+            .and_then(|t| t.parse::<u32>().ok())
+    };
+    TICK * (ticks(11).unwrap_or(0) + ticks(12).unwrap_or(0))
+}
+
 /// Lets the sidecar's limit grow to its capacity.
 async fn warm(entry: SocketAddr, key: &str) -> Result<(), Error> {
     let client = client();
--- a/crates/celerycove-bench/src/slopes.rs
+++ b/crates/celerycove-bench/src/slopes.rs
@@ -1,5 +1,7 @@
 //! The slopes of the page on capacity.
 
+mod spreading;
+
 use std::{path::Path, sync::Arc, time::Duration};
 
 use celerycove_config::Feed;
@@ -43,7 +45,9 @@
 /// Returns an error if a file can't be written or read.
 pub fn run(folder: &Path) -> Result<(), Box<dyn std::error::Error>> {
     // Memory first, while the allocator has nothing to hand out again.
+    shared_state();
     history();
+    spreading::run();
     routing();
     admission();
     configuration();
@@ -245,11 +249,7 @@
         "bytes",
         &[(1, length(&reply))],
     );
-    let (bytes, mut leaf) = memory(|| {
-        leaf.take(now, reply);
-        leaf
-    });
-    line("shared state held by a process", "bytes", &[(1, bytes)]);
+    leaf.take(now, reply);
     let pull = leaf.pull(now, fixture::announcement(1));
     let reply = answer(&pull, &feed, &placement, &directory, Duration::ZERO);
     line("idle pull", "bytes", &[(1, length(&pull))]);
@@ -356,6 +356,30 @@
     shard
 }
 
+/// Memory of what each process holds of the shared state.
+fn shared_state() {
+    let feed = Feed::new(fixture::store(ORGANISATIONS).config);
+    let now = Duration::from_secs(10);
+    let mut kept = Vec::new();
+    let figures = [1_000, 3_000, PROCESSES].map(|processes| {
+        let placement = fixture::placement(2048, processes);
+        let directory = fixture::directory(processes);
+        let mut leaf = Follower::new(Duration::from_secs(4), Duration::from_secs(3));
+        let pull = leaf.pull(now, fixture::announcement(1));
+        let reply = answer(&pull, &feed, &placement, &directory, Duration::ZERO);
+        let reply = to_vec(&reply).unwrap_or_default();
+        let (bytes, held) = memory(|| {
+            if let Ok(reply) = serde_json::from_slice(&reply) {
+                leaf.take(now, reply);
+            }
+            leaf
+        });
+        kept.push((held, placement, directory));
+        (processes, bytes)
+    });
+    line("memory of shared state, by processes", "bytes", &figures);
+}
+
 /// Memory of programs and their history; everything stays until all is measured.
 fn history() {
     let mut kept = Vec::new();
--- a/crates/celerycove-proof/src/world/limit.rs
+++ b/crates/celerycove-proof/src/world/limit.rs
@@ -174,7 +174,8 @@
             let place = self.net.below(PLACES);
             self.net.isolate(place, PLACES);
         }
-        if self.net.chance(0.08) {
+        // Cuts outlast the proof of ownership, so that an owner may be replaced unawares.
+        if self.net.chance(0.02) {
             self.net.heal();
         }
     }
--- a/crates/celerycove-proof/src/world/program/callers.rs
+++ b/crates/celerycove-proof/src/world/program/callers.rs
@@ -26,7 +26,7 @@
 const CHAINS: usize = 6;
 const PAYERS: usize = 2;
 const CALLERS: usize = CHAINS + PAYERS;
-const BUDGET: id::Tokens = 4000;
+const BUDGET: id::Tokens = 700;
 /// How long a caller waits before it sends again through another entry.
 const PATIENCE: Duration = Duration::from_millis(1500);
 /// Calls after which a program ends and the next begins.
