perf: count no wait where a slot is free

Cause: the wait was taken from all that runs and waits, so an engine with busy slots and an empty queue looked slow and programs left their cache.

--- a/crates/celerycove-daemon/src/entry/dispatch.rs
+++ b/crates/celerycove-daemon/src/entry/dispatch.rs
@@ -319,16 +319,17 @@
 }
 
 fn note_load(stats: &Stats, now: Timestamp, headers: &HeaderMap) {
-    let report = headers
+    let text = headers
         .get(header::LOAD)
-        .and_then(|value| value.to_str().ok())
-        .and_then(|value| value.split_once(';'))
-        .and_then(|(cost, limit)| {
-            Some(Report {
-                cost: cost.parse().ok()?,
-                limit: limit.parse().ok()?,
-            })
-        });
+        .and_then(|value| value.to_str().ok());
+    let report = text.and_then(|text| {
+        let mut parts = text.split(';');
+        Some(Report {
+            cost: parts.next()?.parse().ok()?,
+            running: parts.next()?.parse().ok()?,
+            limit: parts.next()?.parse().ok()?,
+        })
+    });
     if let Some(report) = report {
         stats.report(now, report);
     }
--- a/crates/celerycove-daemon/src/sidecar/forward.rs
+++ b/crates/celerycove-daemon/src/sidecar/forward.rs
@@ -215,7 +215,7 @@
 
     fn put_headers(&self, headers: &mut HeaderMap, run: Run, waited: Option<Duration>) {
         let load = self.load();
-        let load = format!("{};{}", load.cost, load.limit);
+        let load = format!("{};{};{}", load.cost, load.running, load.limit);
         put(headers, header::RUN, run.as_str());
         put(headers, header::LOAD, &load);
         put(headers, header::BACKEND, &self.id);
--- a/crates/celerycove-queue/src/queue.rs
+++ b/crates/celerycove-queue/src/queue.rs
@@ -121,7 +121,7 @@
     pub running: u32,
     /// Requests that may run at once.
     pub limit: u32,
-    /// Cost of all that waits and runs.
+    /// Cost of all that waits.
     pub cost: f64,
 }
 
@@ -187,12 +187,11 @@
     #[must_use]
     pub fn load(&self) -> Load {
         let count = |n: usize| u32::try_from(n).unwrap_or(u32::MAX);
-        let running: f64 = self.running.values().map(|job| job.cost).sum();
         Load {
             waiting: count(self.line.len()),
             running: count(self.running.len()),
             limit: self.ramp.limit(),
-            cost: self.line.cost() + running,
+            cost: self.line.cost(),
         }
     }
 
--- a/crates/celerycove-replay/src/replay.rs
+++ b/crates/celerycove-replay/src/replay.rs
@@ -460,6 +460,7 @@
                     now,
                     Report {
                         cost: load.cost,
+                        running: load.running,
                         limit: load.limit,
                     },
                 );
--- a/crates/celerycove-route/src/choose.rs
+++ b/crates/celerycove-route/src/choose.rs
@@ -182,8 +182,9 @@
         .map_or(options.unit.as_secs_f64(), |nanos| nanos / 1e9);
     let limit = f64::from(stats.limit().unwrap_or(member.capacity).max(1));
     let cached = need.last.as_ref() == Some(&member.backend);
-    let wait = stats.backlog(now, options.trust) / limit * unit;
-    let work = cost(need, cached, options) * unit;
+    let work = cost(need, cached, options);
+    let ahead = stats.ahead(now, options.trust, work, member.capacity);
+    let wait = ahead / limit * unit;
     let near = pool.members()[..pool.local()]
         .iter()
         .take(1)
@@ -193,5 +194,5 @@
     } else {
         options.distance.as_secs_f64()
     };
-    wait + work + way
+    wait + work * unit + way
 }
--- a/crates/celerycove-route/src/stats.rs
+++ b/crates/celerycove-route/src/stats.rs
@@ -22,8 +22,10 @@
 /// The load that a sidecar reports with an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct Report {
-    /// Cost of all that waits and runs there, in tokens or requests.
+    /// Cost of all that waits there, in tokens or requests.
     pub cost: f64,
+    /// Requests that run there.
+    pub running: u32,
     /// Requests that may run at once.
     pub limit: u32,
 }
@@ -37,6 +39,7 @@
     reported: AtomicU64,
     /// Of the reported cost, what was dispatched from here, in thousandths.
     reported_own: AtomicU64,
+    running: AtomicU32,
     limit: AtomicU32,
     /// Microseconds of the process's clock; zero is never.
     reported_at: AtomicU64,
@@ -96,21 +99,34 @@
     pub fn report(&self, now: Timestamp, report: Report) {
         self.reported.store(milli(report.cost), Relaxed);
         self.reported_own.store(self.own.load(Relaxed), Relaxed);
+        self.running.store(report.running, Relaxed);
         self.limit.store(report.limit, Relaxed);
         self.reported_at.store(micros(now).max(1), Relaxed);
     }
 
-    /// The cost that waits or runs there, with what was dispatched from here since the report;
-    /// an old report counts less and less.
+    /// The cost that is ahead of a request of a given cost before it may start; zero while a slot
+    /// is free. What was dispatched from here since the report counts in full, the report itself
+    /// less and less.
     #[must_use]
-    pub fn backlog(&self, now: Timestamp, trust: Duration) -> f64 {
+    pub fn ahead(&self, now: Timestamp, trust: Duration, cost: f64, capacity: u32) -> f64 {
         let own = from_milli(self.own.load(Relaxed));
-        let since = own - from_milli(self.reported_own.load(Relaxed));
-        let age = micros(now).saturating_sub(self.reported_at.load(Relaxed));
-        let age = Duration::from_micros(age).as_secs_f64();
+        let since = (own - from_milli(self.reported_own.load(Relaxed))).max(0.0);
+        let known = self.reported_at.load(Relaxed);
+        if known == 0 {
+            return (own - cost * f64::from(capacity)).max(0.0);
+        }
+        let age = Duration::from_micros(micros(now).saturating_sub(known)).as_secs_f64();
         let confidence = (-age / trust.as_secs_f64()).exp();
-        let reported = from_milli(self.reported.load(Relaxed)) + since;
-        (reported * confidence).max(own)
+        let limit = f64::from(self.limit.load(Relaxed).max(1));
+        let running = f64::from(self.running.load(Relaxed));
+        let free = (limit - running).max(0.0) * cost;
+        let waiting = from_milli(self.reported.load(Relaxed)) * confidence;
+        if since < free {
+            return waiting;
+        }
+        // Where all slots are busy, one of them has to become free first.
+        let busy = if running >= limit { confidence } else { 1.0 };
+        waiting + (since - free) + cost * busy
     }
 
     /// Requests that may run at once, as last reported.
--- a/crates/celerycove-route/tests/route.rs
+++ b/crates/celerycove-route/tests/route.rs
@@ -105,6 +105,7 @@
         now,
         Report {
             cost: 800.0,
+            running: 8,
             limit: 8,
         },
     );
@@ -128,20 +129,42 @@
 fn an_old_report_counts_less_and_own_dispatches_always() {
     let stats = Stats::default();
     let trust = Duration::from_secs(5);
-    stats.report(
-        Duration::from_secs(1),
-        Report {
-            cost: 1000.0,
-            limit: 8,
-        },
+    let report = |running| Report {
+        cost: 1000.0,
+        running,
+        limit: 8,
+    };
+    stats.report(Duration::from_secs(1), report(8));
+    let ahead = |seconds| stats.ahead(Duration::from_secs(seconds), trust, 100.0, 8);
+    assert!(
+        ahead(1) >= 1000.0 && ahead(40) < 10.0,
+        "{} then {}",
+        ahead(1),
+        ahead(40)
     );
-    let fresh = stats.backlog(Duration::from_secs(1), trust);
-    let old = stats.backlog(Duration::from_secs(30), trust);
-    assert!(fresh > 900.0 && old < 10.0, "{fresh} then {old}");
-    stats.begin(300.0);
-    assert!(stats.backlog(Duration::from_secs(60), trust) >= 300.0);
-    stats.end(300.0);
-    assert!(stats.backlog(Duration::from_secs(60), trust) < 1.0);
+    stats.begin(900.0);
+    assert!(ahead(60) >= 900.0);
+    stats.end(900.0);
+    assert!(ahead(60) < 1.0);
+}
+
+#[test]
+fn a_free_slot_is_no_wait() {
+    let stats = Stats::default();
+    let trust = Duration::from_secs(5);
+    let now = Duration::from_secs(1);
+    let report = Report {
+        cost: 0.0,
+        running: 6,
+        limit: 8,
+    };
+    stats.report(now, report);
+    let ahead = || stats.ahead(now, trust, 100.0, 8);
+    assert!(ahead() < 1.0);
+    stats.begin(100.0);
+    assert!(ahead() < 1.0, "the second of two free slots");
+    stats.begin(100.0);
+    assert!(ahead() >= 100.0, "no slot is free any more");
 }
 
 #[test]
--- a/crates/celerycove-wire/src/header.rs
+++ b/crates/celerycove-wire/src/header.rs
@@ -38,7 +38,7 @@
 pub const DEADLINE: &str = "celerycove-deadline-ms";
 /// Whether the request must not be repeated.
 pub const ONCE: &str = "celerycove-once";
-/// The load of a backend server, as `cost;limit`.
+/// The load of a backend server, as `cost waiting;requests running;limit`.
 pub const LOAD: &str = "celerycove-load";
 /// Microseconds that a request waited in the queue.
 pub const WAITED: &str = "celerycove-waited-us";
