perf: judge servers by their own speed only where it is far off

Cause: each server's time per unit is an average of what requests happened to generate; differences of 15 in 100 are noise, yet outweighed a cached history.

--- a/crates/celerycove-route/src/choose.rs
+++ b/crates/celerycove-route/src/choose.rs
@@ -5,7 +5,10 @@
 use celerycove_types::{Timestamp, id};
 use rand::{Rng, RngExt};
 
-use crate::pool::{Member, Pool};
+use crate::{
+    pool::{Member, Pool},
+    stats::Stats,
+};
 
 /// What a choice weighs.
 #[derive(Debug, Clone, Copy)]
@@ -76,6 +79,8 @@
     pub weighed: usize,
 }
 
+/// How many times slower than usual a member must be for that to count.
+const FAR_SLOWER: f64 = 1.5;
 /// The most that are weighed.
 const MOST: usize = 8;
 
@@ -128,10 +133,11 @@
     }
     // Ejection is advice: where all are ejected, they are weighed all the same.
     let candidates = || list.weighed.iter().flatten().copied();
+    let usual = usual_unit(candidates(), options);
     let healthy = candidates().any(|member| !member.stats.is_ejected(now));
     let (member, expected) = candidates()
         .filter(|member| !healthy || !member.stats.is_ejected(now))
-        .map(|member| (member, expected(now, pool, member, need, options)))
+        .map(|member| (member, expected(now, pool, member, need, options, usual)))
         .min_by(|a, b| a.1.total_cmp(&b.1))?;
     let reason = if list.count == 1 {
         Reason::Only
@@ -174,12 +180,39 @@
     (prefill + count(need.generate)).max(1.0)
 }
 
+/// The usual time of one unit of cost in seconds, over the members weighed.
+fn usual_unit<'a>(members: impl Iterator<Item = &'a Member>, options: &Options) -> f64 {
+    let mut sum = 0.0;
+    let mut count = 0.0;
+    for nanos in members.filter_map(|member| member.stats.unit_nanos()) {
+        sum += nanos;
+        count += 1.0;
+    }
+    if count > 0.0 {
+        sum / count / 1e9
+    } else {
+        options.unit.as_secs_f64()
+    }
+}
+
+/// The time of one unit at a member: its own only where it is far slower than usual, since small
+/// differences are noise of what requests happened to generate.
+fn unit(stats: &Stats, usual: f64) -> f64 {
+    let own = stats.unit_nanos().map_or(usual, |nanos| nanos / 1e9);
+    if own > usual * FAR_SLOWER { own } else { usual }
+}
+
 /// The expected time to completion in seconds: the wait, the work and the way.
-fn expected(now: Timestamp, pool: &Pool, member: &Member, need: &Need, options: &Options) -> f64 {
+fn expected(
+    now: Timestamp,
+    pool: &Pool,
+    member: &Member,
+    need: &Need,
+    options: &Options,
+    usual: f64,
+) -> f64 {
     let stats = &member.stats;
-    let unit = stats
-        .unit_nanos()
-        .map_or(options.unit.as_secs_f64(), |nanos| nanos / 1e9);
+    let unit = unit(stats, usual);
     let limit = f64::from(stats.limit().unwrap_or(member.capacity).max(1));
     let cached = need.last.as_ref() == Some(&member.backend);
     let work = cost(need, cached, options);
