--- a/crates/celerycove-control/tests/control.rs
+++ b/crates/celerycove-control/tests/control.rs
@@ -98,6 +98,37 @@
     assert!(full(&placement), "{placement:?}");
 }
 
+#[test]
+fn a_shard_waits_for_its_learner_rather_than_go_on_alone() {
+    let mut candidates = candidates(7);
+    let mut placement = placed(12, &candidates);
+    for name in ["h0", "h1"] {
+        candidates.get_mut(name).expect("a home").silent = true;
+    }
+    step(&mut placement, &candidates);
+    let alone = placement
+        .shards
+        .iter()
+        .find(|shard| shard.full().count() < 2);
+    assert_eq!(alone, None);
+    let kept = placement
+        .shards
+        .iter()
+        .filter(|shard| shard.backups.iter().any(|b| candidates[&b.process].silent))
+        .count();
+    assert!(kept > 0, "no shard had lost two replicas");
+    for _ in 0..3 {
+        learn(&placement, &mut candidates);
+        step(&mut placement, &candidates);
+    }
+    let silent = placement.shards.iter().any(|shard| {
+        shard
+            .all()
+            .any(|replica| candidates[&replica.process].silent)
+    });
+    assert!(!silent, "{placement:?}");
+}
+
 #[test]
 fn nothing_moves_while_most_are_silent() {
     let mut candidates = candidates(6);
--- a/crates/celerycove-limit/tests/limit.rs
+++ b/crates/celerycove-limit/tests/limit.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::VecDeque, time::Duration};
 
-use celerycove_limit::{Owner, Purse, owner::Entitlement};
+use celerycove_limit::{Owner, Purse, Seat, owner::Entitlement};
 use celerycove_types::id;
 use quickcheck::{Arbitrary, Gen};
 
@@ -125,3 +125,38 @@
     }
     assert_eq!(passed, 50);
 }
+
+#[test]
+fn an_estate_of_another_epoch_is_refused() {
+    let authority = Duration::from_secs(2);
+    let now = Duration::from_secs(100);
+    let estate = |seat: Seat| seat.leave(now).expect("a seat that lends");
+    let mut seat = Seat::begin(7, now, authority, false);
+    let earlier = estate(Seat::begin(1, now, authority, true));
+    assert!(
+        !seat.inherit(6, now, now, earlier.clone()),
+        "there was another owner in between"
+    );
+    let ask = Purse::default().ask(now, &World::organisation(), 1);
+    let entitlement = Entitlement {
+        rate: 10.0,
+        burst: 50,
+    };
+    let loan = seat
+        .lend(now, Duration::ZERO, &ask, entitlement)
+        .expect("an answer");
+    assert_eq!(
+        (loan.tokens, loan.outstanding),
+        (0, true),
+        "earlier loans may last"
+    );
+    assert!(seat.inherit(7, now, now, earlier));
+    let loan = seat
+        .lend(now, Duration::ZERO, &ask, entitlement)
+        .expect("an answer");
+    assert_eq!(loan.tokens, 1);
+    assert!(
+        seat.lend(now, authority, &ask, entitlement).is_none(),
+        "the proof is too old"
+    );
+}
--- a/crates/celerycove-replay/src/replay.rs
+++ b/crates/celerycove-replay/src/replay.rs
@@ -36,7 +36,7 @@
 /// Tokens that a call is expected to generate; what it does generate shows only at its end.
 const EXPECTED: u64 = 150;
 
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
     Call(usize),
     End(u64),
