--- a/crates/celerycove-bench/src/overhead.rs
+++ b/crates/celerycove-bench/src/overhead.rs
@@ -172,7 +172,7 @@
     println!(
         "one pull over the wire: {:.1} us there and back, {:.1} us of the upstream's processor",
         began.elapsed().as_secs_f64() * 1e6 / f64::from(PULLS),
-        (processor_time(id) - before).as_secs_f64() * 1e6 / f64::from(PULLS),
+        processor_time(id).saturating_sub(before).as_secs_f64() * 1e6 / f64::from(PULLS),
     );
     Ok(())
 }
--- a/crates/celerycove-daemon/tests/processes/deployment.rs
+++ b/crates/celerycove-daemon/tests/processes/deployment.rs
@@ -125,7 +125,7 @@
             );
             self.write(name, DATA_CENTRES[n], *address, &peers, true, &role);
         }
-        for n in 0..2 {
+        for (n, data_centre) in DATA_CENTRES.into_iter().enumerate().take(2) {
             let entry = self.addresses.free();
             let name = format!("entry-{n}");
             let role = format!(
@@ -134,9 +134,9 @@
             );
             self.entries.insert(name.clone(), entry);
             let listen = self.addresses.free();
-            self.write(&name, DATA_CENTRES[n], listen, &peers, false, &role);
+            self.write(&name, data_centre, listen, &peers, false, &role);
         }
-        for n in 0..3 {
+        for (n, data_centre) in DATA_CENTRES.into_iter().enumerate() {
             let backend = format!("engine-{n}");
             let options = engine::Options {
                 token: Duration::from_millis(4),
@@ -156,7 +156,7 @@
             );
             self.write(
                 &format!("beside-{backend}"),
-                DATA_CENTRES[n],
+                data_centre,
                 listen,
                 &peers,
                 false,
--- a/crates/celerycove-route/tests/route.rs
+++ b/crates/celerycove-route/tests/route.rs
@@ -118,6 +118,7 @@
         now,
         Report {
             cost: 80_000.0,
+            running: 8,
             limit: 8,
         },
     );
