--- a/crates/celerycove-cli/src/command.rs
+++ b/crates/celerycove-cli/src/command.rs
@@ -134,7 +134,7 @@
     let plain_help = arguments.iter().any(|a| a == "--help" || a == "-h");
     let Some((command, words)) = find(arguments) else {
         if plain_help || arguments.is_empty() {
-            println!("{}", usage());
+            say!("{}", usage());
             return Ok(());
         }
         return Err(Failure::Usage(format!(
@@ -164,7 +164,7 @@
             "Usage: celerycove {} {}\n\n{}",
             command.name, command.arguments, command.help
         );
-        println!("{}", flags.usage(&brief));
+        say!("{}", flags.usage(&brief));
         return Ok(());
     }
     let matches = flags
--- a/crates/celerycove-cli/src/command/change.rs
+++ b/crates/celerycove-cli/src/command/change.rs
@@ -31,16 +31,16 @@
 
 pub(super) fn check(path: &str) -> Result<(), Failure> {
     let changes = read(path)?;
-    println!("{path}: no faults in {} sections", changes.len());
+    say!("{path}: no faults in {} sections", changes.len());
     Ok(())
 }
 
 async fn propose(client: &Client, changes: Vec<Change>) -> Result<(), Failure> {
     let version = client.propose(changes).await?;
     if client.options.json {
-        println!("{}", json!({"version": version}));
+        say!("{}", json!({"version": version}));
     } else {
-        println!("accepted as version {version}");
+        say!("accepted as version {version}");
     }
     Ok(())
 }
@@ -62,11 +62,11 @@
         }
     }
     if client.options.json {
-        println!("{}", json!({"version": version, "changes": lines}));
+        say!("{}", json!({"version": version, "changes": lines}));
     } else if lines.is_empty() {
-        println!("version {version} has all of it");
+        say!("version {version} has all of it");
     } else {
-        println!("against version {version}:\n  {}", lines.join("\n  "));
+        say!("against version {version}:\n  {}", lines.join("\n  "));
     }
     Ok(())
 }
@@ -168,12 +168,12 @@
     let version = client.propose(vec![Change::Issue { id, key }]).await?;
     let presented = format_key(&public, &secret);
     if client.options.json {
-        println!(
+        say!(
             "{}",
             json!({"id": public, "organisation": organisation, "key": presented, "version": version})
         );
     } else {
-        println!("{presented}");
+        say!("{presented}");
         eprintln!(
             "key {public} of {organisation}, in version {version}; the secret is shown only now"
         );
@@ -207,7 +207,7 @@
         order,
     };
     let fence: u64 = client.ask(operator::ORDER, Some(&order), false).await?;
-    println!("carried out with fencing number {fence}");
+    say!("carried out with fencing number {fence}");
     Ok(())
 }
 
@@ -219,7 +219,7 @@
     client
         .ask::<_, ()>(operator::MEMBER, Some(&change), true)
         .await?;
-    println!(
+    say!(
         "{} {}",
         if add { "added" } else { "removed" },
         change.process
--- a/crates/celerycove-cli/src/command/look.rs
+++ b/crates/celerycove-cli/src/command/look.rs
@@ -12,7 +12,7 @@
 fn print_json<T: Serialize>(value: &T) -> Result<(), Failure> {
     let text =
         serde_json::to_string_pretty(value).map_err(|error| Failure::Failed(error.to_string()))?;
-    println!("{text}");
+    say!("{text}");
     Ok(())
 }
 
@@ -21,7 +21,7 @@
     if client.options.json {
         return print_json(&current.config);
     }
-    println!(
+    say!(
         "; version {}\n{}",
         current.config.version,
         file::render(&current.config)
@@ -44,7 +44,7 @@
         .iter()
         .map(|(id, key)| vec![id.to_string(), key.organisation.to_string()])
         .collect();
-    print!("{}", render(&["KEY", "ORGANISATION"], &rows));
+    say!("{}", render(&["KEY", "ORGANISATION"], &rows));
     Ok(())
 }
 
@@ -67,16 +67,18 @@
     if client.options.json {
         return print_json(&status);
     }
-    println!(
+    say!(
         "version {}, leader {} in term {}, members {}",
         status.version,
         status.leader,
         status.term,
         status.members.join(", "),
     );
-    println!(
+    say!(
         "shards: {} of {} served, {} learning\n",
-        status.shards.served, status.shards.total, status.shards.learning
+        status.shards.served,
+        status.shards.total,
+        status.shards.learning
     );
     let spread: Vec<Vec<String>> = status
         .spread
@@ -90,7 +92,7 @@
             ]
         })
         .collect();
-    println!(
+    say!(
         "{}",
         render(
             &["DATA CENTRE", "PROCESSES", "OLDEST VERSION", "SLOWEST"],
@@ -153,6 +155,6 @@
         "CALLS",
         "STATE",
     ];
-    print!("{}", render(&heading, &rows));
+    say!("{}", render(&heading, &rows));
     Ok(())
 }
--- a/crates/celerycove-cli/src/table.rs
+++ b/crates/celerycove-cli/src/table.rs
@@ -23,5 +23,6 @@
     for row in rows {
         text.push_str(&line(row.iter().map(String::as_str).collect()));
     }
+    text.truncate(text.trim_end().len());
     text
 }
