--- a/crates/celerycove-bench/src/overhead.rs
+++ b/crates/celerycove-bench/src/overhead.rs
@@ -6,7 +6,10 @@
     os::unix::fs::PermissionsExt,
     path::Path,
     process::{Child, Command, Stdio},
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering::Relaxed},
+    },
     time::{Duration, Instant},
 };
 
@@ -21,7 +24,14 @@
 use http_body_util::BodyExt;
 use hyper::Request;
 use jsonrpsee::core::client::ClientT;
-use tokio::sync::Mutex;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{
+        TcpListener, TcpStream,
+        tcp::{OwnedReadHalf, OwnedWriteHalf},
+    },
+    sync::Mutex,
+};
 
 use crate::{
     fixture::announcement,
@@ -157,9 +167,22 @@
 async fn pulls(listen: SocketAddr, id: &str) -> Result<(), Error> {
     const PULLS: u32 = 4000;
     let headers = [(header::CLUSTER, SECRET), (header::FROM, "child")];
-    let client = rpc_client(listen, &headers)?;
+    let counted = Counted::start(listen).await?;
+    let client = rpc_client(counted.address, &headers)?;
     let mut follower = Follower::new(Duration::from_secs(4), Duration::from_secs(3));
-    let pull = follower.pull(Duration::from_secs(1), announcement(1));
+    let mut own = announcement(1);
+    own.process = "child".into();
+    // The first pulls bring everything; the ones measured find nothing new.
+    for _ in 0..3 {
+        let pull = follower.pull(Duration::from_secs(1), own.clone());
+        let reply: Option<Reply> = client
+            .request(method::PULL, ArrayParams::from(&pull)?)
+            .await?;
+        follower.take(Duration::from_secs(1), reply.ok_or("nothing to pull yet")?);
+    }
+    let pull = follower.pull(Duration::from_secs(1), own);
+    counted.up.store(0, Relaxed);
+    counted.down.store(0, Relaxed);
     let began = Instant::now();
     let before = processor_time(id);
     for _ in 0..PULLS {
@@ -169,6 +192,12 @@
             return Err("nothing to pull yet".into());
         }
     }
+    let bytes = |count: &AtomicU64| to_float(count.load(Relaxed)) / f64::from(PULLS);
+    println!(
+        "one pull with its HTTP headers: {:.0} bytes up, {:.0} bytes down",
+        bytes(&counted.up),
+        bytes(&counted.down),
+    );
     println!(
         "one pull over the wire: {:.1} us there and back, {:.1} us of the upstream's processor",
         began.elapsed().as_secs_f64() * 1e6 / f64::from(PULLS),
@@ -177,6 +206,48 @@
     Ok(())
 }
 
+/// Counts the bytes of the connections that pass through it.
+struct Counted {
+    address: SocketAddr,
+    up: Arc<AtomicU64>,
+    down: Arc<AtomicU64>,
+}
+
+impl Counted {
+    async fn start(to: SocketAddr) -> Result<Self, Error> {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
+        let counted = Self {
+            address: listener.local_addr()?,
+            up: Arc::default(),
+            down: Arc::default(),
+        };
+        let (up, down) = (counted.up.clone(), counted.down.clone());
+        tokio::spawn(async move {
+            while let Ok((caller, _)) = listener.accept().await {
+                let Ok(server) = TcpStream::connect(to).await else {
+                    continue;
+                };
+                let (from_caller, to_caller) = caller.into_split();
+                let (from_server, to_server) = server.into_split();
+                tokio::spawn(pass(from_caller, to_server, up.clone()));
+                tokio::spawn(pass(from_server, to_caller, down.clone()));
+            }
+        });
+        Ok(counted)
+    }
+}
+
+/// Passes bytes on and counts them until the connection ends.
+async fn pass(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, count: Arc<AtomicU64>) {
+    let mut buffer = vec![0; 16 << 10];
+    while let Ok(read) = from.read(&mut buffer).await
+        && read > 0
+        && to.write_all(&buffer[..read]).await.is_ok()
+    {
+        count.fetch_add(read as u64, Relaxed);
+    }
+}
+
 /// One parameter of a method.
 struct ArrayParams;
 
--- a/crates/celerycove-bench/src/slopes.rs
+++ b/crates/celerycove-bench/src/slopes.rs
@@ -15,7 +15,7 @@
 use celerycove_limit::{Ask, Owner, Purse, owner::Entitlement};
 use celerycove_program::{
     Event, Options as ShardOptions, Shard,
-    message::{Body, Message},
+    message::{Body, Image, Message},
     shard::{Action, Assignment},
 };
 use celerycove_queue::{Event as QueueEvent, Gate, Job, Options as QueueOptions, Queue};
@@ -425,6 +425,7 @@
     });
     line("housekeeping once a second, by programs", "us", &figures);
     records();
+    image_time();
 }
 
 /// What one call sends to each backup.
@@ -483,6 +484,19 @@
     );
 }
 
+/// What it takes to send an image and to take it in.
+fn image_time() {
+    let figures = [125, 500, 2_000].map(|thousands| {
+        let shard = shard(thousands / 5, 5, 2_000);
+        let took = nanos(|| {
+            let bytes = to_vec(&shard.image()).unwrap_or_default();
+            serde_json::from_slice::<Image>(&bytes).is_ok()
+        });
+        (thousands, took / 1e6)
+    });
+    line("image written and read, by 1,000 tokens", "ms", &figures);
+}
+
 fn shard_image(thousands: usize) -> [(usize, f64); 3] {
     [thousands / 16, thousands / 4, thousands].map(|thousands| {
         let shard = shard(thousands / 5, 5, 2_000);
