test: take ports that outgoing connections can't take

Ruled out: two deployments on one address, each has its own. Conclusion: the address of a deployment is its own from the start.

--- a/crates/celerycove-daemon/tests/processes/deployment.rs
+++ b/crates/celerycove-daemon/tests/processes/deployment.rs
@@ -41,8 +41,14 @@
         }
     }
 
+    /// Takes the next port that the system grants below those it gives to outgoing connections,
+    /// which would otherwise take it between here and the start of its process.
     fn free(&mut self) -> SocketAddr {
-        let listener = TcpListener::bind((self.host, 0)).expect("a free port");
+        const PORTS: std::ops::Range<u16> = 20_000..32_000;
+        let listener = PORTS
+            .into_iter()
+            .find_map(|port| TcpListener::bind((self.host, port)).ok())
+            .expect("a free port");
         let address = listener.local_addr().expect("its address");
         self.held.push(listener);
         address
