test: keep ports free of processes that are being started

Cause: a child inherits, until it runs its own program, the listeners that hold ports for another test's deployment, so that deployment's processes could not listen (log: could not listen on six of its ports). Conclusion: no socket is open in the test while a process starts, but those of stand-ins.

--- a/crates/celerycove-daemon/tests/processes/deployment.rs
+++ b/crates/celerycove-daemon/tests/processes/deployment.rs
@@ -6,7 +6,7 @@
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::{
-        Arc,
+        Arc, Mutex, PoisonError,
         atomic::{AtomicU32, Ordering::Relaxed},
     },
     time::{Duration, Instant},
@@ -24,34 +24,36 @@
 
 static DEPLOYMENTS: AtomicU32 = AtomicU32::new(0);
 
-/// Addresses that no other deployment uses: each has a loopback address of its own, and its ports
-/// are held until all are known.
+/// Held while ports are looked for and while a process is started: a process that is being started
+/// has, for a moment, every socket that this one has open, and would keep its port taken.
+static STARTS: Mutex<()> = Mutex::new(());
+
+/// Ports that one deployment needs at most.
+const MOST_PORTS: usize = 32;
+
+/// Addresses that no other deployment uses: each deployment has a loopback address of its own.
 struct Addresses {
-    host: Ipv4Addr,
-    held: Vec<TcpListener>,
+    free: Vec<SocketAddr>,
 }
 
 impl Addresses {
+    /// Takes ports that the system grants, below those it gives to outgoing connections.
     fn new(number: u32) -> Self {
+        const PORTS: std::ops::Range<u16> = 20_000..32_000;
         let [_, _, high, low] = std::process::id().to_be_bytes();
         let deployment = u8::try_from(number % 100).expect("a small number");
-        Self {
-            host: Ipv4Addr::new(127, 1 + high % 100 + deployment, low, 1),
-            held: Vec::new(),
-        }
+        let host = Ipv4Addr::new(127, 1 + high % 100 + deployment, low, 1);
+        let _alone = STARTS.lock().unwrap_or_else(PoisonError::into_inner);
+        let free = PORTS
+            .filter_map(|port| TcpListener::bind((host, port)).ok())
+            .filter_map(|listener| listener.local_addr().ok())
+            .take(MOST_PORTS)
+            .collect();
+        Self { free }
     }
 
-    /// Takes the next port that the system grants below those it gives to outgoing connections,
-    /// which would otherwise take it between here and the start of its process.
     fn free(&mut self) -> SocketAddr {
-        const PORTS: std::ops::Range<u16> = 20_000..32_000;
-        let listener = PORTS
-            .into_iter()
-            .find_map(|port| TcpListener::bind((self.host, port)).ok())
-            .expect("a free port");
-        let address = listener.local_addr().expect("its address");
-        self.held.push(listener);
-        address
+        self.free.pop().expect("a free port")
     }
 }
 
@@ -102,7 +104,6 @@
             key: String::new(),
         };
         deployment.write_all().await;
-        deployment.addresses.held.clear();
         let names: Vec<String> = deployment.processes.keys().cloned().collect();
         for name in &names {
             deployment.launch(name, true);
@@ -231,6 +232,7 @@
             command.arg("--bootstrap");
         }
         command.stdout(Stdio::null()).stderr(Stdio::null());
+        let _alone = STARTS.lock().unwrap_or_else(PoisonError::into_inner);
         process.child = Some(command.spawn().expect("a process"));
     }
 
