--- a/crates/celerycove-daemon/src/operator.rs
+++ b/crates/celerycove-daemon/src/operator.rs
@@ -126,24 +126,15 @@
     fn status(&self) -> operator::Status {
         let summary = self.control.summary();
         let view = self.share.view();
-        let own = celerycove_sync::Announcement {
-            process: self.process.name.clone(),
-            incarnation: self.process.incarnation,
-            revision: 0,
-            data_centre: self.process.data_centre.clone(),
-            address: self.process.address(),
-            life: self.process.life(),
-            home: None,
-            learned: Vec::new(),
-            backend: None,
-            relay: false,
-        };
+        let (process, data_centre) = (&self.process.name, &self.process.data_centre);
         operator::Status {
             leader: self.process.name.clone(),
             term: summary.term,
             members: summary.members.iter().cloned().collect(),
             version: view.config.version,
-            spread: self.share.with_follower(|follower| follower.spread(&own)),
+            spread: self
+                .share
+                .with_follower(|follower| follower.spread(process, data_centre)),
             processes: view
                 .directory
                 .all()
--- a/crates/celerycove-replay/src/measure.rs
+++ b/crates/celerycove-replay/src/measure.rs
@@ -13,8 +13,6 @@
     pub took_ms: f64,
     /// What it would have taken alone, in milliseconds.
     pub alone_ms: f64,
-    /// When it arrived, in milliseconds.
-    pub arrived_ms: u64,
 }
 
 /// The result of one policy on one trace.
--- a/crates/celerycove-replay/src/replay.rs
+++ b/crates/celerycove-replay/src/replay.rs
@@ -61,7 +61,6 @@
     history: u64,
     last: Option<usize>,
     failures: u32,
-    done: bool,
 }
 
 struct Replay<'t> {
@@ -403,7 +402,6 @@
         if self.states[gone.program].failures > FAILURES {
             self.failed += 1;
             self.open -= 1;
-            self.states[gone.program].done = true;
             return;
         }
         self.call(gone.program, vec![backend(gone.engine)]);
@@ -460,7 +458,6 @@
             self.after(pause, Event::Call(program));
             return;
         }
-        state.done = true;
         self.open -= 1;
         let pauses: u64 = trace.calls.iter().map(|call| call.pause_ms).sum();
         let whole = self.now.as_secs_f64() * 1e3;
@@ -475,7 +472,6 @@
             organisation: trace.organisation.clone(),
             took_ms: whole - began,
             alone_ms: Duration::from_micros(alone).as_secs_f64() * 1e3,
-            arrived_ms: trace.at_ms,
         });
     }
 }
@@ -486,6 +482,5 @@
         history: 0,
         last: None,
         failures: 0,
-        done: false,
     }
 }
--- a/crates/celerycove-sync/src/follower.rs
+++ b/crates/celerycove-sync/src/follower.rs
@@ -82,7 +82,7 @@
     pub fn pull(&mut self, now: Timestamp, own: Announcement) -> Pull {
         let (term, sequence) = self.directory.position();
         let silent = self.children.silent(now, self.silence);
-        let spread = self.spread(&own);
+        let spread = self.spread(&own.process, &own.data_centre);
         let process = own.process.clone();
         let mut announcements = self.children.unknown(term);
         announcements.push(own);
@@ -100,14 +100,14 @@
 
     /// How far the configuration has spread here and among those that pull from here.
     #[must_use]
-    pub fn spread(&self, own: &Announcement) -> Spread {
+    pub fn spread(&self, process: &id::Process, data_centre: &id::DataCentre) -> Spread {
         let mut spread = self.children.spread();
         let here = InForce {
             processes: 1,
             oldest: self.feed.config().version,
-            slowest: own.process.clone(),
+            slowest: process.clone(),
         };
-        add_spread(&mut spread, Spread::from([(own.data_centre.clone(), here)]));
+        add_spread(&mut spread, Spread::from([(data_centre.clone(), here)]));
         spread
     }
 
--- a/crates/celerycove-sync/tests/sync.rs
+++ b/crates/celerycove-sync/tests/sync.rs
@@ -112,8 +112,8 @@
     std::array::from_fn(|_| Follower::new(LEASE, SILENCE))
 }
 
-#[test]
-fn a_death_behind_two_relays_reaches_the_leader() {
+/// A chain that has pulled until everyone knows everything, and the time by then.
+fn settled() -> (Leader, [Follower; 3], Duration) {
     let mut leader = Leader::new();
     let mut chain = chain();
     let mut now = Duration::from_secs(1);
@@ -121,6 +121,12 @@
         now += INTERVAL;
         pull_chain(&mut leader, &mut chain, now, true, false);
     }
+    (leader, chain, now)
+}
+
+#[test]
+fn a_death_behind_two_relays_reaches_the_leader() {
+    let (mut leader, mut chain, mut now) = settled();
     assert_eq!(is_gone(&leader, "leaf"), Some(false));
     let dead = now;
     while is_gone(&leader, "leaf") == Some(false) {
@@ -153,13 +159,7 @@
 
 #[test]
 fn a_lease_counts_from_the_leader_through_all_relays() {
-    let mut leader = Leader::new();
-    let mut chain = chain();
-    let mut now = Duration::from_secs(1);
-    for _ in 0..6 {
-        now += INTERVAL;
-        pull_chain(&mut leader, &mut chain, now, true, false);
-    }
+    let (_, mut chain, mut now) = settled();
     let age = chain[2].freshness().age(now).expect("a lease");
     assert!(
         age <= INTERVAL * 2,
