feat: entries, control instances and stores of a directly routed fleet, and the platform's adapter

Thin whole path: requests by host and prefix, keys, shares of rates, attempts with at-most-once, streams with budgets and chains, configurations, heartbeats, evacuation and retirement. Not measured yet.

--- a/crates/celerycove-daemon/src/logging.rs
+++ b/crates/celerycove-daemon/src/logging.rs
@@ -1,9 +1,7 @@
 //! Log lines as text or JSON.
 
-use std::fmt::Write as _;
-
+use celerycove_log::{Line, line::timestamp};
 use celerycove_settings::{Log, schema::LogFormat};
-use log::kv::{Error as KvError, Key, Value, VisitSource};
 
 /// Why logging could not begin.
 #[derive(Debug, thiserror::Error)]
@@ -57,50 +55,3 @@
     dispatch.apply()?;
     Ok(())
 }
-
-fn timestamp() -> String {
-    humantime::format_rfc3339_millis(std::time::SystemTime::now()).to_string()
-}
-
-/// One line being written.
-struct Line {
-    json: bool,
-    text: String,
-}
-
-impl Line {
-    fn new(json: bool) -> Self {
-        let text = if json { "{".to_owned() } else { String::new() };
-        Self { json, text }
-    }
-
-    fn put(&mut self, key: &str, value: &str) {
-        if self.json {
-            let comma = if self.text.len() > 1 { "," } else { "" };
-            let key = serde_json::Value::from(key);
-            let value = serde_json::Value::from(value);
-            let _ = write!(self.text, "{comma}{key}:{value}");
-            return;
-        }
-        let space = if self.text.is_empty() { "" } else { " " };
-        let _ = match key {
-            "time" | "level" | "message" => write!(self.text, "{space}{value}"),
-            "target" => write!(self.text, "{space}{value}:"),
-            _ => write!(self.text, "{space}{key}={value:?}"),
-        };
-    }
-
-    fn finish(mut self) -> String {
-        if self.json {
-            self.text.push('}');
-        }
-        self.text
-    }
-}
-
-impl<'kvs> VisitSource<'kvs> for Line {
-    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), KvError> {
-        self.put(key.as_str(), &value.to_string());
-        Ok(())
-    }
-}
--- a/crates/celerycove-fleet/src/config.rs
+++ b/crates/celerycove-fleet/src/config.rs
@@ -48,7 +48,7 @@
     pub priority: u8,
     /// Where its requests go.
     pub targets: Vec<Target>,
-    /// How many backend servers may be given one attempt of a caller.
+    /// How many backend servers one attempt of a caller may run on.
     pub max_attempts: u32,
     /// Whether turns are kept and continued from by name.
     pub retained: bool,
@@ -73,6 +73,8 @@
     pub cold_rate: f64,
     /// For model engines: tokens counted for each event of a stream.
     pub event_tokens: Option<u32>,
+    /// For model engines: tokens that the prefix cache of one engine holds.
+    pub cache_tokens: Option<id::Tokens>,
 }
 
 /// An organisation, its keys and what it is owed.
@@ -133,7 +135,7 @@
     /// The configuration as the operator sent it, given back on reading.
     pub source: Bytes,
     /// The routes.
-    pub routes: Vec<Route>,
+    pub routes: Vec<Arc<Route>>,
     /// The services.
     pub services: Vec<Service>,
     /// Bounds on callers.
--- a/crates/celerycove-fleet/src/index.rs
+++ b/crates/celerycove-fleet/src/index.rs
@@ -50,7 +50,7 @@
 
     /// The route with the longest prefix of the path, among those of the host.
     #[must_use]
-    pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
+    pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let without_port = host.rsplit_once(':').map_or(host, |(name, _)| name);
         let routes = self.hosts.get(without_port).or_else(|| {
             let lowercase = without_port.to_ascii_lowercase();
--- a/crates/celerycove-fleet/tests/fleet.rs
+++ b/crates/celerycove-fleet/tests/fleet.rs
@@ -35,12 +35,13 @@
 fn config(version: u64, routes: Vec<Route>) -> Config {
     Config {
         version,
-        routes,
+        routes: routes.into_iter().map(Arc::new).collect(),
         services: vec![Service {
             name: "app".into(),
             max_connections: 10,
             cold_rate: 0.0,
             event_tokens: None,
+            cache_tokens: None,
         }],
         ..Config::default()
     }
@@ -95,10 +96,10 @@
     let same = config(1, vec![route("r", "/a/"), route("s", "/a/")]);
     assert!(matches!(same.check(), Err(Invalid::SamePlace { .. })));
     let mut weightless = config(1, vec![route("r", "/a/")]);
-    weightless.routes[0].targets[0].weight = 0;
+    Arc::make_mut(&mut weightless.routes[0]).targets[0].weight = 0;
     assert_eq!(weightless.check(), Err(Invalid::NoWeight("r".into())));
     let mut hasty = config(1, vec![route("r", "/a/")]);
-    hasty.routes[0].timeout = Duration::ZERO;
+    Arc::make_mut(&mut hasty.routes[0]).timeout = Duration::ZERO;
     assert_eq!(hasty.check(), Err(Invalid::NoTimeout("r".into())));
     let mut shared = config(1, vec![route("r", "/a/")]);
     shared.organisations = vec![organisation("x", "k"), organisation("y", "k")];
--- /dev/null
+++ b/crates/celerycove-gateway/src/control.rs
@@ -0,0 +1,379 @@
+//! A control instance: hears backend servers and operators, and agrees with its peers.
+
+mod keep;
+mod operate;
+
+pub(crate) use keep::candidates;
+
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex, Weak},
+    time::Duration,
+};
+
+use arc_swap::ArcSwap;
+use celerycove_control::{Answer, State, log::Command as Entry};
+use celerycove_disk::Store;
+use celerycove_fleet::{Command, Config, Fleet};
+use celerycove_limit::share::{Allotter, Part, Report};
+use celerycove_types::{Timestamp, id};
+use tokio::sync::watch;
+
+use crate::{
+    Dialect, Error, Setup, clock,
+    group::{Group, options},
+    http,
+    link::{self, Handler, Links, Sender, lock},
+    message::{Ask, Frame, News, Number, Peer, Reply, Told, View},
+    setup::Role,
+    spread::{Picture, Spread},
+};
+
+/// How often everything that is alive is told.
+const DIGEST: Duration = Duration::from_secs(1);
+/// How long a command may take before its outcome counts as unknown; below the second after which
+/// an operator goes on to another instance.
+const COMMIT: Duration = Duration::from_millis(900);
+/// A leader that proved itself longer ago, or a follower that heard its leader longer ago, no longer
+/// vouches for its state.
+const PROOF: Duration = Duration::from_millis(1_500);
+/// Entries of the control log between snapshots.
+const SNAPSHOT_AFTER: u64 = 1_024;
+
+/// A control instance.
+pub struct Control {
+    this: Weak<Self>,
+    setup: Setup,
+    dialect: Arc<dyn Dialect>,
+    links: Arc<Links>,
+    group: std::sync::OnceLock<Arc<Group>>,
+    spread: Spread,
+    picture: Picture,
+    /// The newest state applied here, and its position.
+    state: ArcSwap<(u64, Arc<Fleet>)>,
+    /// Divides allowances, during one term.
+    allotter: Mutex<Option<(u64, Allotter)>>,
+    /// Backend servers heard here since the last digest.
+    alive: Mutex<BTreeMap<id::Backend, Timestamp>>,
+    keeping: Mutex<keep::Keeping>,
+}
+
+/// Starts a control instance.
+///
+/// # Errors
+///
+/// Returns an error if the settings lack something, a listener can't be opened, or the log on the
+/// disk can't be used.
+pub async fn start(
+    setup: Setup,
+    dialect: Arc<dyn Dialect>,
+    stop: watch::Receiver<bool>,
+) -> Result<(), Error> {
+    let data = setup.data.clone().ok_or(Error::Missing("data folder"))?;
+    let address = setup
+        .listen
+        .control
+        .ok_or(Error::Missing("control address"))?;
+    let me = setup.process();
+    let peer = Peer {
+        process: me.clone(),
+        role: Role::Control,
+        instance: setup.instance.clone(),
+        data_centre: setup.data_centre.clone(),
+        founder: setup.bootstrap,
+    };
+    let links = Links::new(peer.clone());
+    let control = Arc::new_cyclic(|this| Control {
+        this: this.clone(),
+        links: links.clone(),
+        dialect,
+        group: std::sync::OnceLock::new(),
+        spread: Spread::default(),
+        picture: Picture::default(),
+        state: ArcSwap::from_pointee((0, Arc::default())),
+        allotter: Mutex::default(),
+        alive: Mutex::default(),
+        keeping: Mutex::default(),
+        setup,
+    });
+    control.picture.greet(&peer);
+    links.handle(control.clone());
+    control.open_group(&me, data)?;
+    let internal = me.parse().map_err(|_| Error::Missing("internal address"))?;
+    link::listen(internal, control.clone()).await?;
+    control.connect(&control.setup.seed_processes());
+    let listener = http::bind(address)?;
+    let limits = http::Limits::default();
+    tokio::spawn(http::serve(listener, limits, control.clone(), stop));
+    tokio::spawn(async move { control.keep().await });
+    Ok(())
+}
+
+impl Control {
+    fn open_group(
+        self: &Arc<Self>,
+        me: &id::Process,
+        data: std::path::PathBuf,
+    ) -> Result<(), Error> {
+        let seeds: std::collections::BTreeSet<_> =
+            self.setup.seed_processes().into_iter().collect();
+        let founds = self.setup.bootstrap && seeds.contains(me);
+        let storage = Box::new(Store::new(data)?);
+        let control = self.clone();
+        let group = Group::open(
+            me.clone(),
+            founds.then_some(seeds),
+            storage,
+            self.links.clone(),
+            options(SNAPSHOT_AFTER),
+            Box::new(move |state, index| control.apply(state, index)),
+        )?;
+        // The group is opened once, right here.
+        let _ = self.group.set(group);
+        Ok(())
+    }
+
+    /// Takes the applied state and tells all if it changed.
+    fn apply(&self, state: &State, index: u64) {
+        let before = self.state.load();
+        if before.0 > 0 && *before.1 == state.fleet {
+            return;
+        }
+        let fleet = Arc::new(state.fleet.clone());
+        self.state.store(Arc::new((index, fleet)));
+        let mut news = self.news();
+        news.view = self.view();
+        self.spread.publish(news);
+    }
+
+    /// The state as other processes need it: without the configuration's source.
+    fn view(&self) -> Option<View> {
+        let state = self.state.load();
+        let (index, fleet) = (state.0, &state.1);
+        if index == 0 {
+            return None;
+        }
+        let config = Config {
+            source: bytes::Bytes::new(),
+            ..(*fleet.config).clone()
+        };
+        let fleet = Fleet {
+            config: Arc::new(config),
+            ..(**fleet).clone()
+        };
+        Some(View {
+            index,
+            fleet: Arc::new(fleet),
+        })
+    }
+
+    fn group(&self) -> Option<&Arc<Group>> {
+        self.group.get()
+    }
+
+    /// Whether this instance leads, with its term.
+    fn leads(&self) -> Option<u64> {
+        let status = self.group()?.status();
+        status.leads.then_some(status.term)
+    }
+
+    fn leader(&self) -> Option<id::Process> {
+        let known = self.group().and_then(|group| group.status().leader.clone());
+        known.or_else(|| self.picture.leader())
+    }
+
+    fn proven(&self) -> bool {
+        let now = clock::now();
+        let recent = |at: Option<Timestamp>| at.is_some_and(|at| now.saturating_sub(at) < PROOF);
+        self.group().is_some_and(|group| {
+            let status = group.status();
+            if status.leads {
+                recent(status.proven)
+            } else {
+                status.leader.is_some() && recent(status.heard)
+            }
+        })
+    }
+
+    /// News with nothing in it but who leads.
+    fn news(&self) -> News {
+        News {
+            number: 0,
+            view: None,
+            beats: Vec::new(),
+            peers: None,
+            leader: self.leader(),
+            proven: self.proven(),
+        }
+    }
+
+    /// Everything that a process which has just connected must know.
+    fn everything(&self) -> News {
+        let now = clock::now();
+        let mut news = self.news();
+        news.view = self.view();
+        news.peers = Some(self.seen());
+        let registry = self.picture.registry();
+        news.beats = registry
+            .iter()
+            .map(|known| Told {
+                beat: known.beat.clone(),
+                age: now.saturating_sub(known.heard),
+            })
+            .collect();
+        news
+    }
+
+    fn seen(&self) -> Vec<crate::message::Seen> {
+        [Role::Control, Role::Entry, Role::Store]
+            .into_iter()
+            .flat_map(|role| self.picture.peers(role))
+            .collect()
+    }
+
+    fn connect(&self, controls: &[id::Process]) {
+        for control in controls {
+            self.links.open(control);
+        }
+    }
+
+    /// Commits a command, here or at the leader.
+    async fn commit(&self, command: Command) -> Reply {
+        match (self.leads(), self.leader()) {
+            (Some(_), _) => self.commit_here(command).await,
+            (None, Some(leader)) => self
+                .links
+                .ask(&leader, Ask::Commit(command), COMMIT)
+                .await
+                .unwrap_or(Reply::Unknown),
+            (None, None) => Reply::NotLeader(None),
+        }
+    }
+
+    async fn commit_here(&self, command: Command) -> Reply {
+        let Some(group) = self.group() else {
+            return Reply::NotLeader(None);
+        };
+        match group.propose(Entry::Fleet(command), COMMIT).await {
+            Answer::Fleet(_) => Reply::Committed,
+            Answer::NotLeader(leader) => Reply::NotLeader(leader),
+            _ => Reply::Unknown,
+        }
+    }
+
+    /// The newest state, proven by a quorum after the question came.
+    async fn read(&self) -> Reply {
+        match (self.leads(), self.leader()) {
+            (Some(_), _) => self.read_here().await,
+            (None, Some(leader)) => self
+                .links
+                .ask(&leader, Ask::Read, COMMIT)
+                .await
+                .unwrap_or(Reply::Unknown),
+            (None, None) => Reply::NotLeader(None),
+        }
+    }
+
+    async fn read_here(&self) -> Reply {
+        let asked = clock::now();
+        while clock::now().saturating_sub(asked) < COMMIT {
+            let Some(group) = self.group() else { break };
+            let status = group.status();
+            if !status.leads {
+                return Reply::NotLeader(status.leader.clone());
+            }
+            if status.proven.is_some_and(|proven| proven >= asked) {
+                return Reply::State(self.state.load().1.clone());
+            }
+            tokio::time::sleep(Duration::from_millis(15)).await;
+        }
+        Reply::Unknown
+    }
+
+    fn divide(
+        &self,
+        entry: &id::Process,
+        reports: &BTreeMap<id::Organisation, Report>,
+    ) -> Option<BTreeMap<id::Organisation, Part>> {
+        let term = self.leads()?;
+        let now = clock::now();
+        let state = self.state.load();
+        if !self.proven() || !state.1.entries.contains_key(entry) {
+            return None;
+        }
+        let mut allotter = lock(&self.allotter);
+        if allotter.as_ref().is_none_or(|(of, _)| *of != term) {
+            log::info!(target: "limit", term; "allowances are divided here now");
+            *allotter = Some((term, Allotter::new(now)));
+        }
+        let (_, allotter) = allotter.as_mut()?;
+        Some(allotter.divide(now, entry, state.1.entries.keys(), reports))
+    }
+
+    fn spawn_reply(&self, peer: &id::Process, number: Number, ask: Ask, back: &Sender) {
+        let Some(this) = self.this.upgrade() else {
+            return;
+        };
+        let (peer, back) = (peer.clone(), back.clone());
+        tokio::spawn(async move {
+            let reply = this.reply(&peer, ask).await;
+            back.send(&Frame::Reply(number, reply));
+        });
+    }
+
+    async fn reply(&self, peer: &id::Process, ask: Ask) -> Reply {
+        match ask {
+            Ask::Commit(command) => self.commit_here(command).await,
+            Ask::Read => self.read_here().await,
+            Ask::Shares(reports) => match self.divide(peer, &reports) {
+                Some(parts) => Reply::Shares(parts),
+                None => Reply::NotLeader(self.leader()),
+            },
+            Ask::Turns(_) | Ask::IsMember(_) => Reply::NotLeader(None),
+        }
+    }
+}
+
+/// The control instance's side of its connections.
+impl Handler for Control {
+    fn opened(&self, _peer: &id::Process, hello: Option<&Peer>, back: &Sender) {
+        let Some(hello) = hello else { return };
+        self.picture.greet(hello);
+        self.spread.subscribe(hello, back);
+        self.spread.tell(back, self.everything());
+        if hello.role == Role::Control {
+            self.links.open(&hello.process);
+        }
+    }
+
+    fn take(&self, peer: &id::Process, frame: Frame, back: &Sender) {
+        match frame {
+            Frame::Log(message) => {
+                self.picture.touch(peer);
+                if let Some(group) = self.group() {
+                    group.take(peer, message);
+                }
+            }
+            Frame::Ask(number, ask) => self.spawn_reply(peer, number, ask, back),
+            Frame::News(news) => {
+                let changes = self.picture.take(*news);
+                if !changes.beats.is_empty() {
+                    let mut news = self.news();
+                    news.beats = changes.beats;
+                    self.spread.publish(news);
+                }
+                let controls = self.picture.peers(Role::Control);
+                let controls: Vec<_> = controls.into_iter().map(|c| c.peer.process).collect();
+                self.connect(&controls);
+            }
+            Frame::Heard(number) => self.spread.heard(peer, number),
+            Frame::Hello(_) | Frame::Ping | Frame::Reply(..) => {}
+        }
+    }
+
+    fn closed(&self, _peer: &id::Process, hello: Option<&Peer>, connection: u64) {
+        if hello.is_some() {
+            self.spread.unsubscribe(connection);
+        }
+    }
+}
--- a/crates/celerycove-limit/src/lib.rs
+++ b/crates/celerycove-limit/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod owner;
 pub mod purse;
 pub mod seat;
+pub mod share;
 
 pub use owner::{Ask, Entitlement, Estate, Loan, Owner};
 pub use purse::Purse;
--- a/crates/celerycove-route/src/lib.rs
+++ b/crates/celerycove-route/src/lib.rs
@@ -8,7 +8,9 @@
 #![forbid(unsafe_code)]
 
 pub mod choose;
+pub mod direct;
 pub mod pool;
+pub mod prefix;
 pub mod stats;
 
 pub use choose::{Choice, Need, Options, Reason, choose};
--- a/crates/celerycove-turn/src/account.rs
+++ b/crates/celerycove-turn/src/account.rs
@@ -41,12 +41,15 @@
         fits
     }
 
-    /// Replaces a reservation by what was spent; a repeated end changes nothing.
+    /// Replaces a reservation by what was spent; a repeated end changes nothing. An end may come
+    /// before its beginning, if the proposer gave up waiting: the beginning then reserves nothing.
     pub(crate) fn settle(&mut self, request: &id::Request, spent: id::Tokens) {
-        if self.reserved.remove(request).is_none() {
+        if self.reserved.remove(request).is_some() {
+            self.spent += spent;
+        }
+        if self.ended.contains(request) {
             return;
         }
-        self.spent += spent;
         self.ended.push_back(request.clone());
         if self.ended.len() > REMEMBERED_ENDS {
             self.ended.pop_front();
--- a/crates/celerycove-turn/src/state.rs
+++ b/crates/celerycove-turn/src/state.rs
@@ -80,10 +80,9 @@
         let until = self.until(end.retention);
         if let Some(program) = &end.program {
             let owned = (end.organisation.clone(), program.clone());
-            if let Some(account) = self.accounts.get_mut(&owned) {
-                account.settle(&end.request, end.spent);
-                account.until = account.until.max(until);
-            }
+            let account = self.accounts.entry(owned).or_default();
+            account.settle(&end.request, end.spent);
+            account.until = account.until.max(until);
         }
         if let Some(keep) = &end.keep {
             self.extend_chain(&end.organisation, keep.previous.as_ref(), until);
--- a/crates/celerycove-turn/tests/turn.rs
+++ b/crates/celerycove-turn/tests/turn.rs
@@ -92,6 +92,17 @@
     );
 }
 
+#[test]
+fn a_beginning_that_comes_after_its_end_reserves_nothing() {
+    let mut turns = Turns::default();
+    turns.apply(&end(0, "a", 0, None));
+    turns.apply(&begin(1, "a", None, 90));
+    assert_eq!(
+        turns.apply(&begin(2, "b", None, 90)),
+        Outcome::Begun(vec![])
+    );
+}
+
 #[test]
 fn chains_branch_and_give_the_oldest_text_first() {
     let mut turns = Turns::default();
