--- a/crates/celerycove-gateway/src/control.rs
+++ b/crates/celerycove-gateway/src/control.rs
@@ -15,12 +15,13 @@
 use celerycove_control::{Answer, State, log::Command as Entry};
 use celerycove_disk::Store;
 use celerycove_fleet::{Command, Config, Fleet};
-use celerycove_limit::share::{Allotter, Part, Report};
+use celerycove_limit::{Ask as Want, Loan, Seat, fallback::reduced};
 use celerycove_types::{Timestamp, id};
 use tokio::sync::watch;
 
 use crate::{
     Dialect, Error, Setup, clock,
+    entry::allowance,
     group::{Group, options},
     http,
     link::{self, Handler, Links, Sender, lock},
@@ -37,6 +38,8 @@
 /// A leader that proved itself longer ago, or a follower that heard its leader longer ago, no longer
 /// vouches for its state.
 const PROOF: Duration = Duration::from_millis(1_500);
+/// A leader that proved itself longer ago than this lends no tokens: a few heartbeats.
+const AUTHORITY: Duration = Duration::from_millis(400);
 /// Entries of the control log between snapshots.
 const SNAPSHOT_AFTER: u64 = 1_024;
 
@@ -51,8 +54,8 @@
     picture: Picture,
     /// The newest state applied here, and its position.
     state: ArcSwap<(u64, Arc<Fleet>)>,
-    /// Divides allowances, during one term.
-    allotter: Mutex<Option<(u64, Allotter)>>,
+    /// Lends tokens of the rates, during one term.
+    seat: Mutex<Option<Seat>>,
     /// Backend servers heard here since the last digest.
     alive: Mutex<BTreeMap<id::Backend, Timestamp>>,
     keeping: Mutex<keep::Keeping>,
@@ -91,7 +94,7 @@
         spread: Spread::default(),
         picture: Picture::default(),
         state: ArcSwap::from_pointee((0, Arc::default())),
-        allotter: Mutex::default(),
+        seat: Mutex::default(),
         alive: Mutex::default(),
         keeping: Mutex::default(),
         setup,
@@ -290,43 +293,53 @@
         Reply::Unknown
     }
 
-    fn divide(
-        &self,
-        entry: &id::Process,
-        reports: &BTreeMap<id::Organisation, Report>,
-    ) -> Option<BTreeMap<id::Organisation, Part>> {
+    /// Lends tokens, while this instance surely leads.
+    fn lend(&self, wants: &[Want]) -> Option<Vec<Loan>> {
         let term = self.leads()?;
         let now = clock::now();
+        let proven = self.group()?.status().proven?;
         let state = self.state.load();
-        if !self.proven() || !state.1.entries.contains_key(entry) {
-            return None;
-        }
-        let mut allotter = lock(&self.allotter);
-        if allotter.as_ref().is_none_or(|(of, _)| *of != term) {
-            log::info!(target: "limit", term; "allowances are divided here now");
-            *allotter = Some((term, Allotter::new(now)));
+        let fleet = &state.1;
+        let connected = self.spread.connected();
+        let reached = |entry: &id::Process| connected.iter().any(|peer| peer.process == *entry);
+        let away = fleet.entries.keys().filter(|entry| !reached(entry)).count();
+        let mut seat = lock(&self.seat);
+        if seat.as_ref().is_none_or(|seat| seat.began() != term) {
+            log::info!(target: "limit", term; "tokens are lent here now");
+            *seat = Some(Seat::begin(term, now, AUTHORITY, false));
         }
-        let (_, allotter) = allotter.as_mut()?;
-        Some(allotter.divide(now, entry, state.1.entries.keys(), reports))
+        let seat = seat.as_mut()?;
+        wants
+            .iter()
+            .map(|want| {
+                let organisations = fleet.config.organisations.iter();
+                let owed = organisations
+                    .clone()
+                    .find(|o| o.name == want.organisation)?;
+                let owed = allowance::entitlement(owed.rate, owed.burst);
+                let owed = reduced(owed, away, fleet.entries.len());
+                seat.lend(now, now.saturating_sub(proven), want, owed)
+            })
+            .collect()
     }
 
-    fn spawn_reply(&self, peer: &id::Process, number: Number, ask: Ask, back: &Sender) {
+    fn spawn_reply(&self, number: Number, ask: Ask, back: &Sender) {
         let Some(this) = self.this.upgrade() else {
             return;
         };
-        let (peer, back) = (peer.clone(), back.clone());
+        let back = back.clone();
         tokio::spawn(async move {
-            let reply = this.reply(&peer, ask).await;
+            let reply = this.reply(ask).await;
             back.send(&Frame::Reply(number, reply));
         });
     }
 
-    async fn reply(&self, peer: &id::Process, ask: Ask) -> Reply {
+    async fn reply(&self, ask: Ask) -> Reply {
         match ask {
             Ask::Commit(command) => self.commit_here(command).await,
             Ask::Read => self.read_here().await,
-            Ask::Shares(reports) => match self.divide(peer, &reports) {
-                Some(parts) => Reply::Shares(parts),
+            Ask::Loans(wants) => match self.lend(&wants) {
+                Some(loans) => Reply::Loans(loans),
                 None => Reply::NotLeader(self.leader()),
             },
             Ask::Turns(_) | Ask::IsMember(_) => Reply::NotLeader(None),
@@ -354,7 +367,7 @@
                     group.take(peer, message);
                 }
             }
-            Frame::Ask(number, ask) => self.spawn_reply(peer, number, ask, back),
+            Frame::Ask(number, ask) => self.spawn_reply(number, ask, back),
             Frame::News(news) => {
                 let changes = self.picture.take(*news);
                 if !changes.beats.is_empty() {
--- a/crates/celerycove-gateway/src/control/keep.rs
+++ b/crates/celerycove-gateway/src/control/keep.rs
@@ -95,9 +95,6 @@
         if now >= since + SETTLE {
             self.change_members().await;
         }
-        if let Some((_, allotter)) = lock(&self.allotter).as_mut() {
-            allotter.forget(now);
-        }
     }
 
     async fn admit(&self) {
--- a/crates/celerycove-gateway/src/entry.rs
+++ b/crates/celerycove-gateway/src/entry.rs
@@ -1,6 +1,6 @@
 //! An entry: takes requests from callers and has backend servers answer them.
 
-mod allowance;
+pub(crate) mod allowance;
 mod chains;
 mod events;
 mod exchange;
@@ -118,8 +118,8 @@
     let listener = http::bind(callers)?;
     let limits = http::Limits::default();
     let served = tokio::spawn(http::serve(listener, limits, entry.clone(), stopped));
-    let renewing = entry.clone();
-    tokio::spawn(async move { renewing.renew().await });
+    let borrowing = entry.clone();
+    tokio::spawn(async move { borrowing.borrow().await });
     Ok(Running {
         entry,
         stop,
@@ -166,7 +166,8 @@
             && let Some(view) = self.picture.view()
         {
             let index = Index::new(view.fleet.config.clone());
-            self.allowances.entitle(&view.fleet.config);
+            self.allowances
+                .entitle(&view.fleet.config, view.fleet.entries.len());
             self.index.store(Some(Arc::new(index)));
         }
         if changes.view || tells_servers {
--- a/crates/celerycove-gateway/src/entry/allowance.rs
+++ b/crates/celerycove-gateway/src/entry/allowance.rs
@@ -1,9 +1,16 @@
-//! The entry's shares of the organisations' rates.
+//! The entry's tokens of the organisations' rates.
 
-use std::{collections::BTreeMap, sync::Mutex, time::Duration};
+use std::{
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU32, Ordering::Relaxed},
+    },
+    time::Duration,
+};
 
+use arc_swap::ArcSwap;
 use celerycove_fleet::Config;
-use celerycove_limit::share::{Allotment, Part, Report};
+use celerycove_limit::{Ask as Want, Entitlement, Loan, Purse, fallback::Fallback};
 use celerycove_types::{Map, Timestamp, id};
 use tokio::sync::Notify;
 
@@ -14,134 +21,229 @@
     message::{Ask, Reply},
 };
 
-/// How often shares are renewed: several times while they last.
-const RENEW: Duration = Duration::from_millis(600);
-/// The shortest pause between renewals that requests ask for.
-const URGENT: Duration = Duration::from_millis(40);
-/// How long a request waits for a larger share before it is refused: a few renewals.
-const WAIT: Duration = Duration::from_millis(130);
-/// How long the allotter may take to answer.
-const PATIENCE: Duration = Duration::from_millis(400);
+/// How often loans that have run out are given back.
+const GIVE_BACK: Duration = Duration::from_millis(120);
+/// How long a request waits for tokens before it is refused: several rounds to the owner, or what
+/// other entries give back.
+const WAIT: Duration = Duration::from_millis(300);
+/// How long the owner may take to answer.
+const PATIENCE: Duration = Duration::from_millis(250);
+/// The pause after the owner could not be asked.
+const PAUSE: Duration = Duration::from_millis(50);
+/// Without an owner for so long, the entry helps itself.
+const ALONE: Duration = Duration::from_millis(300);
 
-/// Why a request may not pass.
+/// The organisation is over its rate; a token comes after this time.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Short {
-    /// The organisation is over its rate; a token comes after this time.
-    OverRate(Duration),
-    /// No share is held: no allotter could be asked for long.
-    NoShare,
+pub(super) struct Over(pub(super) Duration);
+
+/// One organisation's tokens at this entry.
+struct Account {
+    name: id::Organisation,
+    owed: Entitlement,
+    purse: Purse,
+    waiting: AtomicU32,
+    /// The owner had nothing: when that was, and when to come back.
+    empty: Mutex<Option<(Timestamp, Duration)>>,
+    fallback: Mutex<Option<Fallback>>,
 }
 
-/// The shares held.
-#[derive(Default)]
+/// The tokens held.
 pub(super) struct Allowances {
-    allotments: Mutex<Map<id::Organisation, Allotment>>,
+    accounts: ArcSwap<Map<id::Organisation, Arc<Account>>>,
     wanted: Notify,
     renewed: Notify,
+    /// When the owner answered last.
+    heard: Mutex<Timestamp>,
+    entries: AtomicU32,
+}
+
+impl Default for Allowances {
+    fn default() -> Self {
+        Self {
+            accounts: ArcSwap::default(),
+            wanted: Notify::new(),
+            renewed: Notify::new(),
+            heard: Mutex::new(clock::now()),
+            entries: AtomicU32::new(1),
+        }
+    }
 }
 
 impl Allowances {
-    /// Follows the configuration.
-    pub(super) fn entitle(&self, config: &Config) {
-        let now = clock::now();
-        let mut allotments = lock(&self.allotments);
-        let limited = config.organisations.iter().filter(|o| o.rate > 0.0);
-        for organisation in limited.clone() {
-            allotments
-                .entry(organisation.name.clone())
-                .or_insert_with(|| Allotment::new(now))
-                .entitle(now, organisation.rate, organisation.burst);
+    /// Follows the configuration and the number of entries.
+    pub(super) fn entitle(&self, config: &Config, entries: usize) {
+        let entries = u32::try_from(entries.max(1)).unwrap_or(u32::MAX);
+        self.entries.store(entries, Relaxed);
+        let before = self.accounts.load();
+        let mut accounts = Map::default();
+        for organisation in config.organisations.iter().filter(|o| o.rate > 0.0) {
+            let owed = entitlement(organisation.rate, organisation.burst);
+            let same = before.get(&organisation.name);
+            let account = match same.filter(|account| account.owed == owed) {
+                Some(account) => account.clone(),
+                None => Arc::new(Account {
+                    name: organisation.name.clone(),
+                    owed,
+                    purse: Purse::default(),
+                    waiting: AtomicU32::new(0),
+                    empty: Mutex::default(),
+                    fallback: Mutex::default(),
+                }),
+            };
+            accounts.insert(organisation.name.clone(), account);
         }
-        allotments.retain(|name, _| limited.clone().any(|o| o.name == *name));
-        self.wanted.notify_one();
+        self.accounts.store(Arc::new(accounts));
     }
 
-    /// Spends one token, waiting shortly for a larger share.
-    pub(super) async fn pass(&self, organisation: &id::Organisation) -> Result<(), Short> {
+    /// Spends one token, waiting shortly for a loan.
+    pub(super) async fn pass(&self, organisation: &id::Organisation) -> Result<(), Over> {
+        let Some(account) = self.accounts.load().get(organisation).cloned() else {
+            return Ok(());
+        };
+        if account.purse.spend(clock::now()) {
+            if account.purse.is_low(clock::now()) {
+                self.wanted.notify_one();
+            }
+            return Ok(());
+        }
+        let waiting = Waiting::new(&account.waiting);
+        let passed = self.wait(&account).await;
+        drop(waiting);
+        passed
+    }
+
+    async fn wait(&self, account: &Account) -> Result<(), Over> {
         let began = clock::now();
-        let mut first = true;
         loop {
             let renewed = self.renewed.notified();
             let now = clock::now();
-            let (next, held) = {
-                let mut allotments = lock(&self.allotments);
-                let Some(allotment) = allotments.get_mut(organisation) else {
-                    return Ok(());
-                };
-                if first {
-                    allotment.want(now);
-                }
-                if allotment.spend(now) {
-                    return Ok(());
-                }
-                (allotment.next_token(), allotment.is_held(now))
-            };
-            first = false;
+            if account.purse.spend(now) {
+                return Ok(());
+            }
+            if now.saturating_sub(*lock(&self.heard)) > ALONE {
+                return self.help_itself(account, now);
+            }
+            let told = lock(&account.empty).filter(|(at, _)| *at >= began);
             let left = WAIT.saturating_sub(now.saturating_sub(began));
+            if let Some((_, retry)) = told
+                && (left.is_zero() || retry > left)
+            {
+                return Err(Over(retry));
+            }
             if left.is_zero() {
-                return Err(if held {
-                    Short::OverRate(next)
-                } else {
-                    Short::NoShare
-                });
+                return Err(Over(WAIT));
             }
             self.wanted.notify_one();
-            let wait = left.min(next.max(Duration::from_millis(1)));
-            // Whichever comes first, the bucket is looked at again.
-            let _ = tokio::time::timeout(wait, renewed).await;
+            let pause = told.map_or(left, |(_, retry)| retry.clamp(PAUSE / 10, left));
+            // Whichever comes first, the purse is looked at again.
+            let _ = tokio::time::timeout(pause, renewed).await;
         }
     }
 
-    fn reports(&self, now: Timestamp) -> BTreeMap<id::Organisation, Report> {
-        let mut allotments = lock(&self.allotments);
-        let reports = allotments.iter_mut();
-        reports
-            .map(|(name, allotment)| (name.clone(), allotment.report(now)))
-            .collect()
+    fn help_itself(&self, account: &Account, now: Timestamp) -> Result<(), Over> {
+        let entries = usize::try_from(self.entries.load(Relaxed)).unwrap_or(1);
+        lock(&account.fallback)
+            .get_or_insert_with(|| Fallback::new(now))
+            .spend(now, account.owed, entries)
+            .map_err(Over)
     }
 
-    fn take(&self, asked: Timestamp, parts: &BTreeMap<id::Organisation, Part>) {
-        let now = clock::now();
-        let mut allotments = lock(&self.allotments);
-        for (name, part) in parts {
-            if let Some(allotment) = allotments.get_mut(name) {
-                allotment.take(now, asked, *part);
+    /// What is to be asked of the owner now.
+    fn wants(&self, now: Timestamp) -> (Vec<Arc<Account>>, Vec<Want>) {
+        let mut accounts = Vec::new();
+        let mut wants = Vec::new();
+        for account in self.accounts.load().values() {
+            let waiting = account.waiting.load(Relaxed);
+            let active = waiting > 0 || (account.purse.is_used(now) && account.purse.is_low(now));
+            let want = if active {
+                Some(account.purse.ask(now, &account.name, waiting))
+            } else {
+                account.purse.give_back(now, &account.name)
+            };
+            if let Some(want) = want {
+                accounts.push(account.clone());
+                wants.push(want);
             }
         }
-        drop(allotments);
+        (accounts, wants)
+    }
+
+    fn take(&self, asked: Timestamp, accounts: &[Arc<Account>], loans: &[Loan]) {
+        let now = clock::now();
+        *lock(&self.heard) = now;
+        for (account, loan) in accounts.iter().zip(loans) {
+            account.purse.take(asked, loan);
+            *lock(&account.fallback) = None;
+            *lock(&account.empty) = (loan.tokens == 0).then_some((now, loan.retry));
+        }
         self.renewed.notify_waiters();
     }
 }
 
+/// What an organisation is owed, as the owner counts it.
+pub(crate) fn entitlement(rate: f64, burst: f64) -> Entitlement {
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    let burst = burst.clamp(1.0, f64::from(u32::MAX)) as u32;
+    Entitlement { rate, burst }
+}
+
+/// Counts a request that waits, also if its caller leaves.
+struct Waiting<'a>(&'a AtomicU32);
+
+impl<'a> Waiting<'a> {
+    fn new(count: &'a AtomicU32) -> Self {
+        count.fetch_add(1, Relaxed);
+        Self(count)
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Relaxed);
+    }
+}
+
 impl Entry {
-    /// Renews the shares, again and again.
-    pub(super) async fn renew(&self) {
-        let mut granted = true;
+    /// Borrows and gives back tokens, again and again.
+    pub(super) async fn borrow(&self) {
+        let mut reached = true;
         loop {
             let wanted = self.allowances.wanted.notified();
-            // Either way it is time to renew.
-            let _ = tokio::time::timeout(RENEW, wanted).await;
+            // Either way it is time to look.
+            let _ = tokio::time::timeout(GIVE_BACK, wanted).await;
             let now = clock::now();
-            let reports = self.allowances.reports(now);
-            if !reports.is_empty() {
-                let leader = self.picture.leader();
-                let renewed = match leader {
-                    Some(leader) => {
-                        let ask = Ask::Shares(reports);
-                        self.links.ask(&leader, ask, PATIENCE).await.ok()
-                    }
-                    None => None,
-                };
-                let success = matches!(renewed, Some(Reply::Shares(_)));
-                if success != granted {
-                    log::info!(target: "limit", success; "renewal of shares");
-                    granted = success;
+            let (accounts, wants) = self.allowances.wants(now);
+            if wants.is_empty() {
+                // Nothing was asked, so nothing was refused either.
+                if reached {
+                    *lock(&self.allowances.heard) = now;
                 }
-                if let Some(Reply::Shares(parts)) = renewed {
-                    self.allowances.take(now, &parts);
+                continue;
+            }
+            let reply = match self.picture.leader() {
+                Some(leader) => self
+                    .links
+                    .ask(&leader, Ask::Loans(wants), PATIENCE)
+                    .await
+                    .ok(),
+                None => None,
+            };
+            let loans = match reply {
+                Some(Reply::Loans(loans)) => Some(loans),
+                _ => None,
+            };
+            if loans.is_some() != reached {
+                reached = loans.is_some();
+                log::info!(target: "limit", reached; "owner of the rates");
+            }
+            match loans {
+                Some(loans) => self.allowances.take(now, &accounts, &loans),
+                None => {
+                    self.allowances.renewed.notify_waiters();
+                    tokio::time::sleep(PAUSE).await;
                 }
             }
-            tokio::time::sleep(URGENT).await;
         }
     }
 }
--- a/crates/celerycove-gateway/src/entry/refuse.rs
+++ b/crates/celerycove-gateway/src/entry/refuse.rs
@@ -27,8 +27,6 @@
     BodyBroken,
     /// The organisation is over its rate. Not run.
     OverRate(Duration),
-    /// No share of the organisation's rate is held. Not run.
-    NoShare,
     /// The program's budget does not hold the turn. Not run.
     OverBudget,
     /// The turn to continue from is unknown.
@@ -67,12 +65,9 @@
             Self::OverRate(_) => StatusCode::TOO_MANY_REQUESTS,
             Self::Failed => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
-            Self::NotReady
-            | Self::NoShare
-            | Self::NoStore
-            | Self::NoServer
-            | Self::Declined
-            | Self::TooLate => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NotReady | Self::NoStore | Self::NoServer | Self::Declined | Self::TooLate => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
         }
     }
 
@@ -80,7 +75,7 @@
     fn retry_after(self) -> Option<Duration> {
         match self {
             Self::OverRate(wait) => Some(wait.max(FULL)),
-            Self::NotReady | Self::NoShare | Self::NoStore | Self::NoServer => Some(SOON),
+            Self::NotReady | Self::NoStore | Self::NoServer => Some(SOON),
             Self::Declined => Some(FULL),
             _ => None,
         }
--- a/crates/celerycove-gateway/src/entry/serve.rs
+++ b/crates/celerycove-gateway/src/entry/serve.rs
@@ -22,7 +22,6 @@
 
 use super::{
     Entry, Refusal,
-    allowance::Short,
     chains::Chain,
     exchange::Task,
     forward::strip,
@@ -108,10 +107,7 @@
         };
         if let Some(organisation) = &admitted.organisation {
             let passed = self.allowances.pass(organisation).await;
-            passed.map_err(|short| match short {
-                Short::OverRate(wait) => Refusal::OverRate(wait),
-                Short::NoShare => Refusal::NoShare,
-            })?;
+            passed.map_err(|over| Refusal::OverRate(over.0))?;
         }
         let task = self.task(began, head, body, call, request, admitted)?;
         if task.route.kind == Kind::Streaming {
--- a/crates/celerycove-gateway/src/message.rs
+++ b/crates/celerycove-gateway/src/message.rs
@@ -1,10 +1,10 @@
 //! What the processes say to each other.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use celerycove_control::Message;
 use celerycove_fleet::{Fleet, registry::Beat};
-use celerycove_limit::share::{Part, Report};
+use celerycove_limit::Loan;
 use celerycove_types::id;
 use serde::{Deserialize, Serialize};
 
@@ -52,8 +52,8 @@
 pub enum Ask {
     /// Begin and end turns; for the stores' leader.
     Turns(Vec<celerycove_turn::Command>),
-    /// Renew shares of allowances; for the control leader.
-    Shares(BTreeMap<id::Organisation, Report>),
+    /// Borrow and give back tokens of rates; for the control leader.
+    Loans(Vec<celerycove_limit::Ask>),
     /// Commit a command; for the control leader.
     Commit(celerycove_fleet::Command),
     /// Tell the newest state; for the control leader.
@@ -67,8 +67,8 @@
 pub enum Reply {
     /// What became of the turns' commands, in their order.
     Turns(Vec<celerycove_turn::Outcome>),
-    /// The shares granted.
-    Shares(BTreeMap<id::Organisation, Part>),
+    /// The loans, in the order of what was asked.
+    Loans(Vec<Loan>),
     /// The command is committed.
     Committed,
     /// The newest state.
--- a/crates/celerycove-limit/src/lib.rs
+++ b/crates/celerycove-limit/src/lib.rs
@@ -7,10 +7,10 @@
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
 
+pub mod fallback;
 pub mod owner;
 pub mod purse;
 pub mod seat;
-pub mod share;
 
 pub use owner::{Ask, Entitlement, Estate, Loan, Owner};
 pub use purse::Purse;
--- a/crates/celerycove-limit/src/purse.rs
+++ b/crates/celerycove-limit/src/purse.rs
@@ -63,6 +63,14 @@
         self.tokens.load(Acquire) <= ledger.want / 2 || self.expires.load(Acquire) <= micros(now)
     }
 
+    /// Whether tokens were spent since the last question, or a loan lasts that was being spent.
+    #[must_use]
+    pub fn is_used(&self, now: Timestamp) -> bool {
+        let lasts = self.expires.load(Acquire) > micros(now);
+        let spent = self.spent.load(Relaxed);
+        spent > self.ledger().spent_at_ask && lasts
+    }
+
     /// The question to the owner; the time of asking is when the loan begins.
     pub fn ask(&self, now: Timestamp, organisation: &id::Organisation, waiting: u32) -> Ask {
         let mut ledger = self.ledger();
