fix: catch a follower up that lost its disk, and resend a log once

Cause: a leader never lowered what it had noted as held by a follower. Besides, each message refused while others were on their way resent the log from the same place. Now a refusal below what was noted resets it, and answers to rounds before that no longer count, since they may come from the life that lost its disk. Entries go out once from where logs may agree.

--- a/crates/celerycove-control/src/core.rs
+++ b/crates/celerycove-control/src/core.rs
@@ -22,6 +22,11 @@
     pub(crate) next: Index,
     pub(crate) round: Round,
     pub(crate) sent: Timestamp,
+    /// When entries were sent from where the logs may agree. Until that is answered, or is late,
+    /// no others are sent.
+    pub(crate) probing: Option<Timestamp>,
+    /// Answers to earlier rounds may come from a life before the follower lost its disk.
+    pub(crate) valid_from: Round,
 }
 
 pub(crate) struct Core {
--- a/crates/celerycove-control/src/replicate.rs
+++ b/crates/celerycove-control/src/replicate.rs
@@ -12,6 +12,8 @@
 
 /// How many entries one message carries.
 const ENTRIES_PER_MESSAGE: usize = 256;
+/// After so many heartbeats entries that were sent from where the logs may agree are sent again.
+const PROBE_HEARTBEATS: u32 = 3;
 /// How many unanswered rounds a leader remembers.
 const REMEMBERED_ROUNDS: usize = 64;
 
@@ -94,6 +96,8 @@
                 next,
                 round: 0,
                 sent,
+                probing: None,
+                valid_from: 0,
             });
         }
     }
@@ -122,12 +126,23 @@
             return;
         };
         progress.sent = self.now;
+        let late = self.options.heartbeat * PROBE_HEARTBEATS;
+        let waits = progress
+            .probing
+            .is_some_and(|probed| self.now < probed + late);
+        if progress.probing.is_some() && !waits {
+            progress.probing = Some(self.now);
+        }
+        let probes = progress.probing.is_some();
         let previous = progress.next - 1;
         let body = match self.log.term_at(previous) {
             Some(previous_term) => {
-                let entries = self.log.slice(progress.next, ENTRIES_PER_MESSAGE);
-                // Sending on before the answer keeps a slow link full; a refusal rewinds.
-                progress.next += entries.len() as Index;
+                let limit = if waits { 0 } else { ENTRIES_PER_MESSAGE };
+                let entries = self.log.slice(progress.next, limit);
+                if !probes {
+                    // Sending on before the answer keeps a slow link full; a refusal rewinds.
+                    progress.next += entries.len() as Index;
+                }
                 Body::Append {
                     previous,
                     previous_term,
@@ -136,11 +151,26 @@
                     round: self.round,
                 }
             }
-            None => self.install_body(),
+            None if waits => self.heartbeat_body(),
+            None => {
+                progress.probing = Some(self.now);
+                self.install_body()
+            }
         };
         self.send(peer, body);
     }
 
+    /// Tells a follower whose log is being replaced that this instance still leads.
+    fn heartbeat_body(&self) -> Body {
+        Body::Append {
+            previous: self.log.last_index(),
+            previous_term: self.log.last_term(),
+            entries: Vec::new(),
+            commit: self.commit,
+            round: self.round,
+        }
+    }
+
     fn install_body(&self) -> Body {
         let term = self.log.term_at(self.applied).unwrap_or_default();
         Body::Install {
@@ -165,14 +195,41 @@
         let Some(progress) = self.progress.get_mut(from) else {
             return;
         };
+        if round < progress.valid_from {
+            return;
+        }
         progress.round = progress.round.max(round);
-        if let Some(matched) = matched {
-            progress.matched = progress.matched.max(matched);
-            progress.next = progress.next.max(matched + 1);
-        } else {
-            // What was sent ahead since is refused too, so the answer alone says where to go on.
-            let back = (last_index + 1).max(progress.matched + 1);
-            progress.next = back.min(progress.next).min(next_index);
+        match matched {
+            Some(matched) => {
+                progress.matched = progress.matched.max(matched);
+                // While probing, answers to empty messages say nothing of what was sent.
+                if matched >= progress.next || progress.next == next_index {
+                    progress.probing = None;
+                }
+                progress.next = progress.next.max(matched + 1);
+            }
+            None if last_index < progress.matched => {
+                // It held more before: its disk was lost, and what it acknowledged no longer counts.
+                progress.matched = 0;
+                progress.next = last_index + 1;
+                progress.probing = None;
+                progress.valid_from = self.round + 1;
+                self.heartbeat();
+                return;
+            }
+            None => {
+                let back = (last_index + 1).max(progress.matched + 1).min(next_index);
+                // What was sent ahead is refused as well; the first refusal says where to go on.
+                if progress.probing.is_some() && back >= progress.next {
+                    self.confirm_round();
+                    return;
+                }
+                progress.next = back.min(progress.next);
+                progress.probing = Some(self.now);
+                self.confirm_round();
+                self.probe(from);
+                return;
+            }
         }
         let more = progress.next < next_index;
         self.confirm_round();
@@ -182,6 +239,20 @@
         }
     }
 
+    /// Sends entries from where the logs may agree.
+    fn probe(&mut self, peer: &id::Process) {
+        let Some(progress) = self.progress.get_mut(peer) else {
+            return;
+        };
+        progress.probing = None;
+        let from = progress.next;
+        self.replicate_to(peer);
+        if let Some(progress) = self.progress.get_mut(peer) {
+            progress.next = from;
+            progress.probing = Some(self.now);
+        }
+    }
+
     /// Notes the start of the latest round that a quorum has answered.
     fn confirm_round(&mut self) {
         let mut rounds: Vec<Round> = self.progress.values().map(|p| p.round).collect();
