fix: let a request wait for tokens also when hardly any time is left

Cause: a wait was clamped to bounds that cross when less than 5 ms are left, which panics; the caller's connection was closed without an answer.

--- a/crates/celerycove-gateway/src/entry/allowance.rs
+++ b/crates/celerycove-gateway/src/entry/allowance.rs
@@ -135,7 +135,7 @@
                 return Err(Over(WAIT));
             }
             self.wanted.notify_one();
-            let pause = told.map_or(left, |(_, retry)| retry.clamp(PAUSE / 10, left));
+            let pause = told.map_or(left, |(_, retry)| retry.max(PAUSE / 10).min(left));
             // Whichever comes first, the purse is looked at again.
             let _ = tokio::time::timeout(pause, renewed).await;
         }
@@ -237,12 +237,11 @@
                 reached = loans.is_some();
                 log::info!(target: "limit", reached; "owner of the rates");
             }
-            match loans {
-                Some(loans) => self.allowances.take(now, &accounts, &loans),
-                None => {
-                    self.allowances.renewed.notify_waiters();
-                    tokio::time::sleep(PAUSE).await;
-                }
+            if let Some(loans) = loans {
+                self.allowances.take(now, &accounts, &loans);
+            } else {
+                self.allowances.renewed.notify_waiters();
+                tokio::time::sleep(PAUSE).await;
             }
         }
     }
