perf: leave a part of an organisation's rate to programs under way

The first turn of a program now needs a quarter to six tenths of the burst left over, by the rank of its route; requests of a program under way may wait for a quarter of their time. Test: limit.rs, what_begins_leaves_a_reserve_to_what_is_under_way.

--- a/crates/celerycove-bench/src/slopes.rs
+++ b/crates/celerycove-bench/src/slopes.rs
@@ -133,6 +133,7 @@
                     want: 4,
                     open: Vec::new(),
                     closed: Vec::new(),
+                    reserve: 0,
                 })
                 .collect();
             let mut now = Duration::from_secs(1);
@@ -151,6 +152,7 @@
         want: 40,
         open: vec![(4_294_967_297, 3)],
         closed: vec![(4_294_967_296, 2)],
+        reserve: 0,
     };
     line("question for tokens", "bytes", &[(1, length(&ask))]);
 }
--- a/crates/celerycove-gateway/src/entry.rs
+++ b/crates/celerycove-gateway/src/entry.rs
@@ -6,6 +6,7 @@
 mod exchange;
 mod forward;
 mod pool;
+mod recent;
 mod refuse;
 mod relay;
 mod serve;
@@ -57,6 +58,8 @@
     turns: Arc<turns::Turns>,
     metrics: Arc<Metrics>,
     leaving: AtomicBool,
+    /// Programs of which a request has been let in here.
+    under_way: Mutex<recent::Recent>,
 }
 
 /// A running entry.
@@ -99,6 +102,7 @@
         links: links.clone(),
         metrics,
         leaving: AtomicBool::new(false),
+        under_way: Mutex::default(),
         setup,
     });
     links.handle(entry.clone());
--- a/crates/celerycove-gateway/src/entry/allowance.rs
+++ b/crates/celerycove-gateway/src/entry/allowance.rs
@@ -23,8 +23,8 @@
 
 /// How often loans that have run out are given back.
 const GIVE_BACK: Duration = Duration::from_millis(120);
-/// How long a request waits for tokens before it is refused: several rounds to the owner, or what
-/// other entries give back.
+/// How long a request that begins a program waits for tokens before it is refused: several rounds
+/// to the owner, or what other entries give back.
 const WAIT: Duration = Duration::from_millis(300);
 /// How long the owner may take to answer.
 const PATIENCE: Duration = Duration::from_millis(250);
@@ -33,6 +33,44 @@
 /// Without an owner for so long, the entry helps itself.
 const ALONE: Duration = Duration::from_millis(300);
 
+/// Percent of the burst that is left to programs under way when a program begins, by the rank of its
+/// route. A program that is refused in the middle has been served in vain; one that is refused at its
+/// beginning comes back.
+const RESERVES: [u8; 3] = [25, 45, 60];
+
+/// How a request may claim tokens.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Claim {
+    /// The rank of its route, if it begins a program.
+    pub(super) begins: Option<u8>,
+    /// How long it may wait.
+    pub(super) patience: Duration,
+}
+
+impl Claim {
+    /// A request that begins a program.
+    pub(super) fn beginning(rank: u8) -> Self {
+        Self {
+            begins: Some(rank),
+            patience: WAIT,
+        }
+    }
+
+    /// A request of a program under way, or of none.
+    pub(super) fn under_way(patience: Duration) -> Self {
+        Self {
+            begins: None,
+            patience: patience.max(WAIT),
+        }
+    }
+
+    /// Which of an account's purses it spends from.
+    fn purse(self) -> usize {
+        self.begins
+            .map_or(0, |rank| 1 + usize::from(rank).min(RESERVES.len() - 1))
+    }
+}
+
 /// The organisation is over its rate; a token comes after this time.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct Over(pub(super) Duration);
@@ -41,11 +79,18 @@
 struct Account {
     name: id::Organisation,
     owed: Entitlement,
+    /// For programs under way, then for those that begin, by rank.
+    purses: [Pocket; 1 + RESERVES.len()],
+    fallback: Mutex<Option<Fallback>>,
+}
+
+/// Tokens for claims of one kind.
+#[derive(Default)]
+struct Pocket {
     purse: Purse,
     waiting: AtomicU32,
     /// The owner had nothing: when that was, and when to come back.
     empty: Mutex<Option<(Timestamp, Duration)>>,
-    fallback: Mutex<Option<Fallback>>,
 }
 
 /// The tokens held.
@@ -85,9 +130,7 @@
                 None => Arc::new(Account {
                     name: organisation.name.clone(),
                     owed,
-                    purse: Purse::default(),
-                    waiting: AtomicU32::new(0),
-                    empty: Mutex::default(),
+                    purses: std::array::from_fn(|_| Pocket::default()),
                     fallback: Mutex::default(),
                 }),
             };
@@ -97,35 +140,45 @@
     }
 
     /// Spends one token, waiting shortly for a loan.
-    pub(super) async fn pass(&self, organisation: &id::Organisation) -> Result<(), Over> {
+    pub(super) async fn pass(
+        &self,
+        organisation: &id::Organisation,
+        claim: Claim,
+    ) -> Result<(), Over> {
         let Some(account) = self.accounts.load().get(organisation).cloned() else {
             return Ok(());
         };
-        if account.purse.spend(clock::now()) {
-            if account.purse.is_low(clock::now()) {
+        let pocket = &account.purses[claim.purse()];
+        if pocket.purse.spend(clock::now()) {
+            if pocket.purse.is_low(clock::now()) {
                 self.wanted.notify_one();
             }
             return Ok(());
         }
-        let waiting = Waiting::new(&account.waiting);
-        let passed = self.wait(&account).await;
+        let waiting = Waiting::new(&pocket.waiting);
+        let passed = self.wait(&account, pocket, claim.patience).await;
         drop(waiting);
         passed
     }
 
-    async fn wait(&self, account: &Account) -> Result<(), Over> {
+    async fn wait(
+        &self,
+        account: &Account,
+        pocket: &Pocket,
+        patience: Duration,
+    ) -> Result<(), Over> {
         let began = clock::now();
         loop {
             let renewed = self.renewed.notified();
             let now = clock::now();
-            if account.purse.spend(now) {
+            if pocket.purse.spend(now) {
                 return Ok(());
             }
             if now.saturating_sub(*lock(&self.heard)) > ALONE {
                 return self.help_itself(account, now);
             }
-            let told = lock(&account.empty).filter(|(at, _)| *at >= began);
-            let left = WAIT.saturating_sub(now.saturating_sub(began));
+            let told = lock(&pocket.empty).filter(|(at, _)| *at >= began);
+            let left = patience.saturating_sub(now.saturating_sub(began));
             if let Some((_, retry)) = told
                 && (left.is_zero() || retry > left)
             {
@@ -150,37 +203,45 @@
     }
 
     /// What is to be asked of the owner now.
-    fn wants(&self, now: Timestamp) -> (Vec<Arc<Account>>, Vec<Want>) {
-        let mut accounts = Vec::new();
+    fn wants(&self, now: Timestamp) -> (Vec<(Arc<Account>, usize)>, Vec<Want>) {
+        let mut asking = Vec::new();
         let mut wants = Vec::new();
         for account in self.accounts.load().values() {
-            let waiting = account.waiting.load(Relaxed);
-            let active = waiting > 0 || (account.purse.is_used(now) && account.purse.is_low(now));
-            let want = if active {
-                Some(account.purse.ask(now, &account.name, waiting))
-            } else {
-                account.purse.give_back(now, &account.name)
-            };
-            if let Some(want) = want {
-                accounts.push(account.clone());
-                wants.push(want);
+            for (at, pocket) in account.purses.iter().enumerate() {
+                if let Some(mut want) = pocket.want(now, &account.name) {
+                    want.reserve = at.checked_sub(1).map_or(0, |rank| RESERVES[rank]);
+                    asking.push((account.clone(), at));
+                    wants.push(want);
+                }
             }
         }
-        (accounts, wants)
+        (asking, wants)
     }
 
-    fn take(&self, asked: Timestamp, accounts: &[Arc<Account>], loans: &[Loan]) {
+    fn take(&self, asked: Timestamp, asking: &[(Arc<Account>, usize)], loans: &[Loan]) {
         let now = clock::now();
         *lock(&self.heard) = now;
-        for (account, loan) in accounts.iter().zip(loans) {
-            account.purse.take(asked, loan);
+        for ((account, at), loan) in asking.iter().zip(loans) {
+            let pocket = &account.purses[*at];
+            pocket.purse.take(asked, loan);
             *lock(&account.fallback) = None;
-            *lock(&account.empty) = (loan.tokens == 0).then_some((now, loan.retry));
+            *lock(&pocket.empty) = (loan.tokens == 0).then_some((now, loan.retry));
         }
         self.renewed.notify_waiters();
     }
 }
 
+impl Pocket {
+    fn want(&self, now: Timestamp, organisation: &id::Organisation) -> Option<Want> {
+        let waiting = self.waiting.load(Relaxed);
+        if waiting > 0 || (self.purse.is_used(now) && self.purse.is_low(now)) {
+            Some(self.purse.ask(now, organisation, waiting))
+        } else {
+            self.purse.give_back(now, organisation)
+        }
+    }
+}
+
 /// What an organisation is owed, as the owner counts it.
 pub(crate) fn entitlement(rate: f64, burst: f64) -> Entitlement {
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
@@ -213,7 +274,7 @@
             // Either way it is time to look.
             let _ = tokio::time::timeout(GIVE_BACK, wanted).await;
             let now = clock::now();
-            let (accounts, wants) = self.allowances.wants(now);
+            let (asking, wants) = self.allowances.wants(now);
             if wants.is_empty() {
                 // Nothing was asked, so nothing was refused either.
                 if reached {
@@ -238,7 +299,7 @@
                 log::info!(target: "limit", reached; "owner of the rates");
             }
             if let Some(loans) = loans {
-                self.allowances.take(now, &accounts, &loans);
+                self.allowances.take(now, &asking, &loans);
             } else {
                 self.allowances.renewed.notify_waiters();
                 tokio::time::sleep(PAUSE).await;
--- a/crates/celerycove-gateway/src/entry/serve.rs
+++ b/crates/celerycove-gateway/src/entry/serve.rs
@@ -22,6 +22,7 @@
 
 use super::{
     Entry, Refusal,
+    allowance::Claim,
     chains::Chain,
     exchange::Task,
     forward::strip,
@@ -31,10 +32,14 @@
     clock,
     dialect::Call,
     http::{self, Body, BodyError},
+    link::lock,
 };
 
 /// How long the stores may take to begin a turn before its caller is told to come back.
 const BEGIN: Duration = Duration::from_millis(2_500);
+/// The part of its time for which a request of a program under way may wait for its organisation's
+/// tokens.
+const QUOTA_PART: u32 = 4;
 /// The longest that the body of a request may take to arrive.
 const BODY: Duration = Duration::from_secs(10);
 
@@ -106,8 +111,17 @@
             Ok(Err(BodyError::Broken)) | Err(_) => return Err(Refusal::BodyBroken),
         };
         if let Some(organisation) = &admitted.organisation {
-            let passed = self.allowances.pass(organisation).await;
-            passed.map_err(|over| Refusal::OverRate(over.0))?;
+            let claim = self.claim(&admitted, &call);
+            let passed = self.allowances.pass(organisation, claim).await;
+            if let Err(over) = passed {
+                log::info!(target: "limit", request:% = request, organisation:% = organisation,
+                    program:? = call.program, claim:? = claim,
+                    retry_ms = clock::millis(over.0); "over the organisation's rate");
+                return Err(Refusal::OverRate(over.0));
+            }
+            if let Some(program) = &call.program {
+                lock(&self.under_way).insert(program.clone());
+            }
         }
         let task = self.task(began, head, body, call, request, admitted)?;
         if task.route.kind == Kind::Streaming {
@@ -138,6 +152,23 @@
         })
     }
 
+    /// How the request may claim tokens: one that begins a program leaves some to programs under
+    /// way, and these may wait for a part of the time that they have.
+    fn claim(&self, admitted: &Admitted, call: &Call) -> Claim {
+        let route = &admitted.route;
+        let begins = route.kind == Kind::Streaming
+            && call.previous.is_none()
+            && call
+                .program
+                .as_ref()
+                .is_some_and(|program| !lock(&self.under_way).contains(program));
+        if begins {
+            return Claim::beginning(route.priority);
+        }
+        let time = call.patience.unwrap_or(route.timeout).min(route.timeout);
+        Claim::under_way(time / QUOTA_PART)
+    }
+
     fn task(
         self: Arc<Self>,
         began: Timestamp,
--- a/crates/celerycove-limit/src/owner.rs
+++ b/crates/celerycove-limit/src/owner.rs
@@ -40,6 +40,9 @@
     pub open: Vec<(LoanId, u32)>,
     /// Earlier loans that were closed with so many unspent.
     pub closed: Vec<(LoanId, u32)>,
+    /// Percent of the burst that must be left for others.
+    #[serde(default)]
+    pub reserve: u8,
 }
 
 /// Tokens lent.
@@ -220,10 +223,11 @@
         bucket.refill(now, entitlement);
         bucket.expire(now);
         bucket.settle(ask);
-        let tokens = share(bucket.level, ask.want);
+        let reserve = f64::from(entitlement.burst) * f64::from(ask.reserve) / 100.0;
+        let tokens = share(bucket.level - reserve, ask.want);
         let lasts = loan_length(entitlement);
         if tokens == 0 {
-            return refuse(bucket, now, entitlement);
+            return refuse(bucket, now, entitlement, reserve);
         }
         bucket.level -= f64::from(tokens);
         self.next += 1;
@@ -267,7 +271,9 @@
 
 /// How many tokens to lend: half of what is there at most, so that the next entry finds some.
 fn share(level: f64, want: u32) -> u32 {
-    let whole = (level + TOLERANCE).floor().min(f64::from(u32::MAX));
+    let whole = (level.max(0.0) + TOLERANCE)
+        .floor()
+        .min(f64::from(u32::MAX));
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
     let whole = whole as u32;
     want.min(whole.div_ceil(2))
@@ -279,8 +285,9 @@
     Duration::from_secs_f64(quarter.clamp(SHORTEST_LOAN.as_secs_f64(), LONGEST_LOAN.as_secs_f64()))
 }
 
-fn refuse(bucket: &Bucket, now: Timestamp, entitlement: Entitlement) -> Loan {
-    let refill = Duration::from_secs_f64((1.0 - bucket.level).max(0.0) / entitlement.rate);
+fn refuse(bucket: &Bucket, now: Timestamp, entitlement: Entitlement, reserve: f64) -> Loan {
+    let missing = (1.0 + reserve - bucket.level).max(0.0);
+    let refill = Duration::from_secs_f64(missing / entitlement.rate);
     let back = bucket
         .lent
         .values()
--- a/crates/celerycove-limit/src/purse.rs
+++ b/crates/celerycove-limit/src/purse.rs
@@ -89,6 +89,7 @@
             want: ledger.want,
             open,
             closed: std::mem::take(&mut ledger.closed),
+            reserve: 0,
         }
     }
 
@@ -106,6 +107,7 @@
             want: 0,
             open: Vec::new(),
             closed: std::mem::take(&mut ledger.closed),
+            reserve: 0,
         })
     }
 
--- a/crates/celerycove-limit/tests/limit.rs
+++ b/crates/celerycove-limit/tests/limit.rs
@@ -160,3 +160,31 @@
         "the proof is too old"
     );
 }
+
+#[test]
+fn what_begins_leaves_a_reserve_to_what_is_under_way() {
+    let owed = Entitlement {
+        rate: 10.0,
+        burst: 10,
+    };
+    let mut owner = Owner::new(1, Duration::ZERO, true);
+    let ask = |reserve| celerycove_limit::Ask {
+        organisation: "zilina".into(),
+        want: 100,
+        open: Vec::new(),
+        closed: Vec::new(),
+        reserve,
+    };
+    let mut beginning = 0;
+    loop {
+        let loan = owner.lend(Duration::ZERO, &ask(40), owed);
+        beginning += loan.tokens;
+        if loan.tokens == 0 {
+            // Half a token short of the reserve and one more.
+            assert!(loan.retry > Duration::ZERO);
+            break;
+        }
+    }
+    assert_eq!(beginning, 6);
+    assert!(owner.lend(Duration::ZERO, &ask(0), owed).tokens > 0);
+}
--- a/crates/celerycove-replay/src/replay/admit.rs
+++ b/crates/celerycove-replay/src/replay/admit.rs
@@ -45,6 +45,7 @@
                 .map(|loan| (*loan, 0))
                 .into_iter()
                 .collect(),
+            reserve: 0,
         };
         self.spent = closed;
         let loan = self.owner.lend(self.now, &ask, entitlement);
