--- a/crates/celerycove-gateway/src/control.rs
+++ b/crates/celerycove-gateway/src/control.rs
@@ -138,6 +138,9 @@
 
     /// Takes the applied state and tells all if it changed.
     fn apply(&self, state: &State, index: u64) {
+        if let Some(term) = self.leads() {
+            self.take_seat(term);
+        }
         let before = self.state.load();
         if before.0 > 0 && *before.1 == state.fleet {
             return;
@@ -293,6 +296,16 @@
         Reply::Unknown
     }
 
+    /// Takes the right to lend tokens in a term, as soon as the instance leads: its quiet time, in
+    /// which tokens of an earlier leader may be out, begins then.
+    fn take_seat(&self, term: u64) {
+        let mut seat = lock(&self.seat);
+        if seat.as_ref().is_none_or(|seat| seat.began() != term) {
+            log::info!(target: "limit", term; "tokens are lent here now");
+            *seat = Some(Seat::begin(term, clock::now(), AUTHORITY, false));
+        }
+    }
+
     /// Lends tokens, while this instance surely leads.
     fn lend(&self, wants: &[Want]) -> Option<Vec<Loan>> {
         let term = self.leads()?;
@@ -304,11 +317,7 @@
         let reached = |entry: &id::Process| connected.iter().any(|peer| peer.process == *entry);
         let away = fleet.entries.keys().filter(|entry| !reached(entry)).count();
         let mut seat = lock(&self.seat);
-        if seat.as_ref().is_none_or(|seat| seat.began() != term) {
-            log::info!(target: "limit", term; "tokens are lent here now");
-            *seat = Some(Seat::begin(term, now, AUTHORITY, false));
-        }
-        let seat = seat.as_mut()?;
+        let seat = seat.as_mut().filter(|seat| seat.began() == term)?;
         wants
             .iter()
             .map(|want| {
--- a/crates/celerycove-gateway/src/control/keep.rs
+++ b/crates/celerycove-gateway/src/control/keep.rs
@@ -90,6 +90,7 @@
                 }
             }
         };
+        self.take_seat(term);
         self.admit().await;
         self.found_stores(now).await;
         if now >= since + SETTLE {
--- a/crates/celerycove-gateway/src/entry/allowance.rs
+++ b/crates/celerycove-gateway/src/entry/allowance.rs
@@ -180,6 +180,13 @@
         passed
     }
 
+    /// Takes back the token of a request that then did not run.
+    pub(super) fn refund(&self, organisation: &id::Organisation, claim: Claim) {
+        if let Some(account) = self.accounts.load().get(organisation) {
+            account.purses[claim.purse()].purse.refund();
+        }
+    }
+
     async fn wait(
         &self,
         account: &Account,
--- a/crates/celerycove-gateway/src/entry/refuse.rs
+++ b/crates/celerycove-gateway/src/entry/refuse.rs
@@ -71,6 +71,12 @@
         }
     }
 
+    /// Whether it says that the request has not run and never will.
+    #[must_use]
+    pub fn is_not_run(self) -> bool {
+        !matches!(self, Self::Failed | Self::TimedOut)
+    }
+
     /// When the caller may come back.
     fn retry_after(self) -> Option<Duration> {
         match self {
--- a/crates/celerycove-gateway/src/entry/serve.rs
+++ b/crates/celerycove-gateway/src/entry/serve.rs
@@ -110,26 +110,45 @@
             Ok(Err(BodyError::TooLong)) => return Err(Refusal::TooLong),
             Ok(Err(BodyError::Broken)) | Err(_) => return Err(Refusal::BodyBroken),
         };
+        let claim = self.claim(&admitted, &call);
         if let Some(organisation) = &admitted.organisation {
-            let claim = self.claim(&admitted, &call);
-            let passed = self.allowances.pass(organisation, claim).await;
-            if let Err(over) = passed {
-                log::info!(target: "limit", request:% = request, organisation:% = organisation,
-                    program:? = call.program, claim:? = claim,
-                    rate = over.owed.rate, burst = over.owed.burst, alone = over.alone,
-                    retry_ms = clock::millis(over.retry); "over the organisation's rate");
-                return Err(Refusal::OverRate(over.retry));
-            }
-            if let Some(program) = &call.program {
-                lock(&self.under_way).insert(program.clone());
-            }
+            self.pay(organisation, claim, &request, &call).await?;
         }
+        let payer = admitted.organisation.clone();
+        let entry = self.clone();
         let task = self.task(began, head, body, call, request, admitted)?;
-        if task.route.kind == Kind::Streaming {
+        let answered = if task.route.kind == Kind::Streaming {
             stream(task).await
         } else {
             plain(task).await
+        };
+        if let (Err(refusal), Some(payer)) = (&answered, &payer)
+            && refusal.is_not_run()
+        {
+            entry.allowances.refund(payer, claim);
+        }
+        answered
+    }
+
+    /// Spends a token of the organisation's rate.
+    async fn pay(
+        &self,
+        organisation: &id::Organisation,
+        claim: Claim,
+        request: &id::Request,
+        call: &Call,
+    ) -> Result<(), Refusal> {
+        if let Err(over) = self.allowances.pass(organisation, claim).await {
+            log::info!(target: "limit", request:% = request, organisation:% = organisation,
+                program:? = call.program, claim:? = claim,
+                rate = over.owed.rate, burst = over.owed.burst, alone = over.alone,
+                retry_ms = clock::millis(over.retry); "over the organisation's rate");
+            return Err(Refusal::OverRate(over.retry));
+        }
+        if let Some(program) = &call.program {
+            lock(&self.under_way).insert(program.clone());
         }
+        Ok(())
     }
 
     /// Finds the route and whose the request is.
--- a/crates/celerycove-limit/src/purse.rs
+++ b/crates/celerycove-limit/src/purse.rs
@@ -56,6 +56,11 @@
         spent
     }
 
+    /// Takes back a token that was spent on a request which then did not run.
+    pub fn refund(&self) {
+        self.tokens.fetch_add(1, AcqRel);
+    }
+
     /// Whether it is time to ask for more before the tokens run out.
     #[must_use]
     pub fn is_low(&self, now: Timestamp) -> bool {
