--- a/crates/celerycove-gateway/src/control.rs
+++ b/crates/celerycove-gateway/src/control.rs
@@ -302,11 +302,12 @@
         let mut seat = lock(&self.seat);
         if seat.as_ref().is_none_or(|seat| seat.began() != term) {
             log::info!(target: "limit", term; "tokens are lent here now");
-            *seat = Some(Seat::begin(term, clock::now(), AUTHORITY, false));
+            *seat = Some(Seat::begin_after_fallback(term, clock::now(), AUTHORITY));
         }
     }
 
-    /// Lends tokens, while this instance surely leads.
+    /// Lends tokens, while this instance surely leads and no earlier leader's tokens are out. The
+    /// entries help themselves until then.
     fn lend(&self, wants: &[Want]) -> Option<Vec<Loan>> {
         let term = self.leads()?;
         let now = clock::now();
@@ -317,7 +318,9 @@
         let reached = |entry: &id::Process| connected.iter().any(|peer| peer.process == *entry);
         let away = fleet.entries.keys().filter(|entry| !reached(entry)).count();
         let mut seat = lock(&self.seat);
-        let seat = seat.as_mut().filter(|seat| seat.began() == term)?;
+        let seat = seat
+            .as_mut()
+            .filter(|seat| seat.began() == term && !seat.is_quiet(now))?;
         wants
             .iter()
             .map(|want| {
--- a/crates/celerycove-limit/src/owner.rs
+++ b/crates/celerycove-limit/src/owner.rs
@@ -179,6 +179,12 @@
         }
     }
 
+    /// Counts what was earned, but surely not spent, during the quiet time: entries that help
+    /// themselves meanwhile let through only a part of the rate.
+    pub(crate) fn credit(&mut self, earned: Duration) {
+        self.unseen.at = self.unseen.at.saturating_sub(earned);
+    }
+
     /// Whether an earlier owner's loans may last.
     #[must_use]
     pub fn is_quiet(&self, now: Timestamp) -> bool {
--- a/crates/celerycove-limit/src/seat.rs
+++ b/crates/celerycove-limit/src/seat.rs
@@ -34,6 +34,23 @@
         }
     }
 
+    /// Takes the seat where entries help themselves as long as nobody lends, within
+    /// [`PART`](crate::fallback::PART) of the rate.
+    #[must_use]
+    pub fn begin_after_fallback(epoch: id::Epoch, now: Timestamp, authority: Duration) -> Self {
+        let mut seat = Self::begin(epoch, now, authority, false);
+        let quiet = (authority + LONGEST_LOAN).mul_f64(CLOCK_MARGIN);
+        seat.owner
+            .credit(quiet.mul_f64(1.0 - crate::fallback::PART));
+        seat
+    }
+
+    /// Whether tokens of an earlier owner may be out, so that nothing is lent.
+    #[must_use]
+    pub fn is_quiet(&self, now: Timestamp) -> bool {
+        self.owner.is_quiet(now)
+    }
+
     /// The epoch with which the seat began.
     #[must_use]
     pub fn began(&self) -> id::Epoch {
