--- a/crates/celerycove-gateway/src/group.rs
+++ b/crates/celerycove-gateway/src/group.rs
@@ -35,8 +35,8 @@
 #[must_use]
 pub fn options(snapshot_after: u64) -> Options {
     Options {
-        heartbeat: Duration::from_millis(120),
-        election: Duration::from_millis(550),
+        heartbeat: Duration::from_millis(80),
+        election: Duration::from_millis(320),
         snapshot_after,
     }
 }
