fix: let an instance learn the members from the log that catches it up

An instance that lost its disk and was caught up by entries alone had none, so it never had a vote again, though its copies counted. A new leader now states the members with its first entry.

--- a/crates/celerycove-control/src/replicate.rs
+++ b/crates/celerycove-control/src/replicate.rs
@@ -25,7 +25,8 @@
         self.progress.clear();
         self.led_since = self.log.last_index() + 1;
         self.heard = Some(self.now);
-        self.append_commands(vec![Command::Noop]);
+        // An instance that is caught up by the log alone learns the members from it.
+        self.append_commands(vec![Command::Members(self.members.clone())]);
         self.sync_progress();
         self.heartbeat();
     }
--- a/crates/celerycove-control/tests/replication.rs
+++ b/crates/celerycove-control/tests/replication.rs
@@ -169,3 +169,23 @@
     assert_eq!(net.fences(wiped), Some(400));
     assert!(net.entries - before < 1_200, "{}", net.entries - before);
 }
+
+#[test]
+fn a_follower_that_was_caught_up_by_the_log_alone_has_a_vote() {
+    let mut net = Net::new();
+    net.run(100, 1_000);
+    net.propose(50);
+    net.run(20, 10_000);
+    let leader = net.leader();
+    let wiped = (leader + 1) % 3;
+    net.nodes[wiped] = Some(open(wiped, false, net.now));
+    net.run(25, 10_000);
+    assert_eq!(net.fences(wiped), Some(50));
+    // Now the leader loses its disk as well, and the two others are a majority.
+    net.nodes[leader] = Some(open(leader, false, net.now));
+    net.run(100, 10_000);
+    assert_ne!(net.leader(), leader);
+    for at in 0..3 {
+        assert_eq!(net.fences(at), Some(50), "node {at}");
+    }
+}
