fix: tell the state again once a control instance can vouch for it

Cause: the state is told when entries of the log are applied, a moment before the instance counts as in touch with a majority; processes that know no state yet take none that is not vouched for, and nothing told it again. A deployment that restarted whole answered 503 until its configuration changed next. Ruled out: the log on the disk (the configuration was read back), the stores. Test: callers.rs, a_deployment_that_starts_from_its_disks_goes_on_where_it_stopped, failing first.

--- a/crates/celerycove-gateway/src/control/keep.rs
+++ b/crates/celerycove-gateway/src/control/keep.rs
@@ -21,7 +21,7 @@
 };
 
 /// How often a leader looks at who is there.
-const ROUND: Duration = Duration::from_millis(400);
+const ROUND: Duration = Duration::from_millis(200);
 /// How long a leader waits for stores to appear before it names the first members of their log:
 /// instances that start together are there within this time.
 const GATHER: Duration = Duration::from_millis(1_500);
@@ -36,6 +36,7 @@
     digest_at: Timestamp,
     led_since: Option<(u64, Timestamp)>,
     gathering: Option<Timestamp>,
+    proven: bool,
 }
 
 impl Control {
@@ -49,6 +50,7 @@
             for peer in self.spread.connected() {
                 self.picture.greet(&peer);
             }
+            self.vouch();
             if now >= lock(&self.keeping).digest_at + DIGEST {
                 lock(&self.keeping).digest_at = now;
                 self.digest(now);
@@ -60,6 +62,21 @@
         }
     }
 
+    /// Tells the state again once this instance can vouch for it: processes that know none yet take
+    /// it from nobody else, and it was told before a leader was known.
+    fn vouch(&self) {
+        let proven = self.proven();
+        let before = std::mem::replace(&mut lock(&self.keeping).proven, proven);
+        if proven && !before {
+            log::info!(target: "spread", leader:? = self.leader(); "in touch with a majority");
+            let mut news = self.news();
+            news.view = self.view();
+            self.spread.publish(news);
+        } else if before && !proven {
+            log::warn!(target: "spread", leader:? = self.leader(); "out of touch with a majority");
+        }
+    }
+
     fn digest(&self, now: Timestamp) {
         let alive = std::mem::take(&mut *lock(&self.alive));
         let mut news = self.news();
@@ -103,7 +120,7 @@
         let seen = self.picture.peers(Role::Entry);
         for entry in &seen {
             let peer = &entry.peer;
-            if entry.silent < ROUND * 2 && known.get(&peer.process) != Some(&peer.data_centre) {
+            if entry.silent < ROUND * 4 && known.get(&peer.process) != Some(&peer.data_centre) {
                 let command = Command::Admit {
                     entry: peer.process.clone(),
                     data_centre: peer.data_centre.clone(),
@@ -127,7 +144,7 @@
         let stores = self.picture.peers(Role::Store);
         let founders: Vec<&Seen> = stores
             .iter()
-            .filter(|seen| seen.peer.founder && seen.silent < ROUND * 2)
+            .filter(|seen| seen.peer.founder && seen.silent < ROUND * 4)
             .collect();
         if founders.is_empty() {
             return;
@@ -162,7 +179,7 @@
         if let Some(members) = membership::plan(&me, &status.members, &candidates, options) {
             log::info!(target: "place", before:? = status.members, after:? = members;
                 "members of the control log are to change");
-            group.propose(Entry::Members(members), ROUND * 2).await;
+            group.propose(Entry::Members(members), ROUND * 4).await;
         }
     }
 }
--- a/crates/celerycove-gateway/tests/callers.rs
+++ b/crates/celerycove-gateway/tests/callers.rs
@@ -206,3 +206,22 @@
         assert_eq!(deployment.read_config().await, newest);
     });
 }
+
+#[test]
+fn a_deployment_that_starts_from_its_disks_goes_on_where_it_stopped() {
+    fleet::run_twice(
+        async |deployment: &Deployment| {
+            let first = deployment.turn("t1", None, "hello", Some(16)).await;
+            assert_eq!(first.status, 200);
+        },
+        async |deployment: &Deployment| {
+            assert!(deployment.read_config().await.contains("version=2"));
+            let second = deployment.turn("t2", Some("t1"), "again", Some(16)).await;
+            assert_eq!(second.status, 200);
+            let seen = deployment.all_seen();
+            assert_eq!(seen[0].body, b"helloone\ntwo\nthree\nagain");
+            let third = deployment.turn("t3", Some("t2"), "more", Some(16)).await;
+            assert_eq!(third.status, 402);
+        },
+    );
+}
--- a/crates/celerycove-gateway/tests/callers/fleet.rs
+++ b/crates/celerycove-gateway/tests/callers/fleet.rs
@@ -34,17 +34,51 @@
 /// Starts a deployment and runs a test in it.
 pub fn run(test: impl AsyncFnOnce(&Deployment)) {
     let _one = ONE.lock().unwrap_or_else(PoisonError::into_inner);
+    let folder = Folder::new();
+    live(&folder, test);
+}
+
+/// Runs a test in a deployment, stops all of it at once, and runs another in what starts from the
+/// same disks.
+pub fn run_twice(first: impl AsyncFnOnce(&Deployment), second: impl AsyncFnOnce(&Deployment)) {
+    let _one = ONE.lock().unwrap_or_else(PoisonError::into_inner);
+    let folder = Folder::new();
+    live(&folder, first);
+    live(&folder, second);
+}
+
+fn live(folder: &Folder, test: impl AsyncFnOnce(&Deployment)) {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .expect("a runtime");
-    let deployment = runtime.block_on(async {
-        let deployment = Deployment::start().await;
+    runtime.block_on(async {
+        let deployment = Deployment::start(folder).await;
         test(&deployment).await;
-        deployment
     });
-    drop(runtime);
-    std::fs::remove_dir_all(&deployment.folder).expect("a folder to remove");
+}
+
+/// The disks of a deployment, removed at the end.
+struct Folder {
+    base: u16,
+    path: PathBuf,
+}
+
+impl Folder {
+    fn new() -> Self {
+        let base = ports(6);
+        let path = std::env::temp_dir().join(format!("celerycove-callers-{base}"));
+        // A run that was cut short may have left it.
+        let _ = std::fs::remove_dir_all(&path);
+        Self { base, path }
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        // What can't be removed is removed by the next run.
+        let _ = std::fs::remove_dir_all(&self.path);
+    }
 }
 
 pub struct Deployment {
@@ -53,7 +87,6 @@
     behaviours: Behaviours,
     callers: SocketAddr,
     control: SocketAddr,
-    folder: PathBuf,
     _stop: watch::Sender<bool>,
     _entry: entry::Running,
 }
@@ -91,12 +124,9 @@
 }
 
 impl Deployment {
-    async fn start() -> Self {
-        let base = ports(6);
+    async fn start(folder: &Folder) -> Self {
+        let (base, folder) = (folder.base, folder.path.clone());
         let at = |offset| SocketAddr::from(([127, 0, 0, 1], base + offset));
-        let folder = std::env::temp_dir().join(format!("celerycove-callers-{base}"));
-        // A run that was cut short may have left it.
-        let _ = std::fs::remove_dir_all(&folder);
         let setup = |role: Role, data: Option<&str>| Setup {
             role,
             instance: role.name().into(),
@@ -141,7 +171,6 @@
             behaviours,
             callers: at(3),
             control: at(5),
-            folder,
             _stop: stop,
             _entry: entry,
         };
