--- a/crates/celerycove-fleet/src/config.rs
+++ b/crates/celerycove-fleet/src/config.rs
@@ -30,6 +30,7 @@
 }
 
 /// Which requests go where, and how.
+#[allow(clippy::struct_excessive_bools)] // Each is a property of its own that operators set.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Route {
     /// Names the route in logs.
--- a/crates/celerycove-fleet/src/state.rs
+++ b/crates/celerycove-fleet/src/state.rs
@@ -84,7 +84,7 @@
             Command::FoundStores(members) => {
                 let first = self.founders.is_empty();
                 if first {
-                    self.founders = members.clone();
+                    self.founders.clone_from(members);
                 }
                 first
             }
--- a/crates/celerycove-gateway/src/control/operate.rs
+++ b/crates/celerycove-gateway/src/control/operate.rs
@@ -196,9 +196,8 @@
     }
 
     async fn retirement(&self, instance: &Arc<str>) -> Response<Body> {
-        let state = match self.read().await {
-            Reply::State(state) => state,
-            _ => return unavailable("the newest state is not known for sure"),
+        let Reply::State(state) = self.read().await else {
+            return unavailable("the newest state is not known for sure");
         };
         let Some(store) = state.retiring.get(instance) else {
             return http::text(StatusCode::NOT_FOUND, "no such retirement");
--- a/crates/celerycove-gateway/src/entry.rs
+++ b/crates/celerycove-gateway/src/entry.rs
@@ -140,7 +140,7 @@
         tokio::time::sleep(notice).await;
         // The receiver is gone only if serving has ended already.
         let _ = self.stop.send(true);
-        if tokio::time::timeout(grace - notice, self.served)
+        if tokio::time::timeout(grace.saturating_sub(notice), self.served)
             .await
             .is_err()
         {
--- a/crates/celerycove-gateway/src/entry/chains.rs
+++ b/crates/celerycove-gateway/src/entry/chains.rs
@@ -16,7 +16,7 @@
 /// Chains by their last turn.
 #[derive(Debug, Default)]
 pub(super) struct Chains {
-    chains: Map<Owned, Chain>,
+    by_turn: Map<Owned, Chain>,
     order: VecDeque<(Owned, usize)>,
     bytes: usize,
 }
@@ -28,7 +28,7 @@
         organisation: &id::Organisation,
         request: &id::Request,
     ) -> Option<Chain> {
-        self.chains
+        self.by_turn
             .get(&(organisation.clone(), request.clone()))
             .cloned()
     }
@@ -42,7 +42,7 @@
     ) {
         let owned = (organisation.clone(), request.clone());
         let size = chain.last().map_or(0, Bytes::len);
-        if self.chains.insert(owned.clone(), chain).is_some() {
+        if self.by_turn.insert(owned.clone(), chain).is_some() {
             return;
         }
         self.order.push_back((owned, size));
@@ -51,7 +51,7 @@
             let Some((oldest, size)) = self.order.pop_front() else {
                 break;
             };
-            self.chains.remove(&oldest);
+            self.by_turn.remove(&oldest);
             self.bytes -= size;
         }
     }
--- a/crates/celerycove-gateway/src/entry/turns.rs
+++ b/crates/celerycove-gateway/src/entry/turns.rs
@@ -108,10 +108,10 @@
         begin: Begin,
         patience: Duration,
     ) -> Result<Outcome, Unavailable> {
-        let began = clock::now();
+        let asked = clock::now();
         let outcome = self.wait(Command::Begin(begin), patience).await;
         self.metrics
-            .turn("begin", clock::now().saturating_sub(began));
+            .turn("begin", clock::now().saturating_sub(asked));
         outcome
     }
 
--- a/crates/celerycove-gateway/src/link.rs
+++ b/crates/celerycove-gateway/src/link.rs
@@ -1,7 +1,7 @@
 //! Connections between processes.
 //!
 //! A process holds one connection to each process that it speaks to first, opened again whenever it
-//! fails. Frames are MessagePack with a length before them. Both sides speak at least once every
+//! fails. Frames are `MessagePack` with a length before them. Both sides speak at least once every
 //! [`PING`]; a connection that is silent for [`SILENCE`] is given up, since a partition or a
 //! suspended peer closes nothing.
 
@@ -63,8 +63,16 @@
 }
 
 impl Sender {
-    /// Sends a frame, or drops it where too many wait already.
-    pub fn send(&self, frame: &Frame) -> bool {
+    /// Sends a frame, or drops it where too many wait already or the connection is gone: then
+    /// whatever it says is told again, or asked again.
+    pub fn send(&self, frame: &Frame) {
+        if !self.try_send(frame) {
+            log::debug!(target: "link", connection = self.connection; "a frame was dropped");
+        }
+    }
+
+    /// Sends a frame and tells whether it waits to be written.
+    fn try_send(&self, frame: &Frame) -> bool {
         match rmp_serde::to_vec(frame) {
             Ok(bytes) => self.frames.try_send(bytes.into()).is_ok(),
             Err(error) => {
@@ -150,10 +158,15 @@
     }
 
     /// Sends a frame to a peer, opening a connection if there is none.
-    pub fn send(self: &Arc<Self>, peer: &id::Process, frame: &Frame) -> bool {
+    pub fn send(self: &Arc<Self>, peer: &id::Process, frame: &Frame) {
+        if let Some(sender) = self.sender(peer) {
+            sender.send(frame);
+        }
+    }
+
+    fn sender(self: &Arc<Self>, peer: &id::Process) -> Option<Sender> {
         self.open(peer);
-        let sender = lock(&self.peers).get(peer).cloned();
-        sender.is_some_and(|sender| sender.send(frame))
+        lock(&self.peers).get(peer).cloned()
     }
 
     /// Asks a peer and waits for its answer, not longer than `patience`.
@@ -172,7 +185,10 @@
         lock(&self.waiting)
             .replies
             .insert(number, (peer.clone(), sender));
-        if !self.send(peer, &Frame::Ask(number, ask)) {
+        let sent = self
+            .sender(peer)
+            .is_some_and(|sender| sender.try_send(&Frame::Ask(number, ask)));
+        if !sent {
             lock(&self.waiting).replies.remove(&number);
             return Err(Lost);
         }
--- a/crates/celerycove-gateway/tests/callers/dialect.rs
+++ b/crates/celerycove-gateway/tests/callers/dialect.rs
@@ -157,7 +157,7 @@
         }],
         max_attempts: 3,
         retained: kind == "kept",
-        retention: Duration::from_secs(60),
+        retention: Duration::from_mins(1),
         open: false,
         sticky: false,
         resumable: kind == "resumable",
--- a/crates/celerycove-gateway/tests/callers/fleet.rs
+++ b/crates/celerycove-gateway/tests/callers/fleet.rs
@@ -311,15 +311,12 @@
         whole: true,
     };
     while let Some(frame) = body.frame().await {
-        match frame {
-            Ok(frame) => reply
-                .body
-                .extend_from_slice(frame.data_ref().expect("data")),
-            Err(_) => {
-                reply.whole = false;
-                break;
-            }
-        }
+        let Ok(frame) = frame else {
+            reply.whole = false;
+            break;
+        };
+        let data = frame.data_ref().expect("data");
+        reply.body.extend_from_slice(data);
     }
     reply
 }
--- a/crates/celerycove-turn/src/state.rs
+++ b/crates/celerycove-turn/src/state.rs
@@ -35,7 +35,7 @@
     now: Millis,
     sweep_at: Millis,
     accounts: Map<Owned, Account>,
-    turns: Map<Owned, Turn>,
+    kept: Map<Owned, Turn>,
 }
 
 impl Turns {
@@ -92,7 +92,7 @@
                 until,
             };
             let owned = (end.organisation.clone(), end.request.clone());
-            self.turns.insert(owned, turn);
+            self.kept.insert(owned, turn);
         }
         Outcome::Ended
     }
@@ -100,14 +100,14 @@
     /// The texts of a chain, oldest first, or `None` if part of it is unknown.
     fn chain(&self, organisation: &id::Organisation, last: &id::Request) -> Option<Vec<Bytes>> {
         let mut texts = Vec::new();
-        let mut next = Some(last.clone());
+        let mut next = Some(last);
         while let Some(request) = next {
-            let turn = self.turns.get(&(organisation.clone(), request))?;
+            let turn = self.kept.get(&(organisation.clone(), request.clone()))?;
             texts.push(turn.text.clone());
             if texts.len() > LONGEST_CHAIN {
                 return None;
             }
-            next = turn.previous.clone();
+            next = turn.previous.as_ref();
         }
         texts.reverse();
         Some(texts)
@@ -120,12 +120,12 @@
         until: Millis,
     ) {
         let mut next = last.cloned();
-        while let Some(request) = next {
-            let Some(turn) = self.turns.get_mut(&(organisation.clone(), request)) else {
+        while let Some(request) = next.clone() {
+            let Some(turn) = self.kept.get_mut(&(organisation.clone(), request)) else {
                 break;
             };
             turn.until = turn.until.max(until);
-            next = turn.previous.clone();
+            next.clone_from(&turn.previous);
         }
     }
 
@@ -141,14 +141,14 @@
         let now = self.now;
         self.sweep_at = now + SWEEP;
         self.accounts.retain(|_, account| account.until > now);
-        self.turns.retain(|_, turn| turn.until > now);
+        self.kept.retain(|_, turn| turn.until > now);
     }
 
     /// How many turns and accounts are held, and the bytes of the turns' texts.
     #[must_use]
     pub fn size(&self) -> (usize, usize, usize) {
-        let bytes = self.turns.values().map(|turn| turn.text.len()).sum();
-        (self.turns.len(), self.accounts.len(), bytes)
+        let bytes = self.kept.values().map(|turn| turn.text.len()).sum();
+        (self.kept.len(), self.accounts.len(), bytes)
     }
 
     /// Checks that every chain is whole.
@@ -157,11 +157,11 @@
     ///
     /// Returns the broken invariant.
     pub fn check(&self) -> Result<(), Violation> {
-        for ((organisation, request), turn) in &self.turns {
+        for ((organisation, request), turn) in &self.kept {
             let Some(previous) = &turn.previous else {
                 continue;
             };
-            let parent = self.turns.get(&(organisation.clone(), previous.clone()));
+            let parent = self.kept.get(&(organisation.clone(), previous.clone()));
             let whole = parent.is_some_and(|parent| parent.until >= turn.until);
             Violation::unless(whole, "chain-whole", || {
                 format!("{request} of {organisation} outlives {previous}")
--- a/crates/celerycove-turn/tests/turn.rs
+++ b/crates/celerycove-turn/tests/turn.rs
@@ -6,7 +6,7 @@
 use celerycove_turn::{Begin, Command, End, Keep, Outcome, Turns};
 use quickcheck::quickcheck;
 
-const RETENTION: Duration = Duration::from_secs(60);
+const RETENTION: Duration = Duration::from_mins(1);
 
 fn begin(at: u64, request: &str, previous: Option<&str>, most: u64) -> Command {
     Command::Begin(Begin {
