--- a/crates/celerycove-gateway/src/entry/allowance.rs
+++ b/crates/celerycove-gateway/src/entry/allowance.rs
@@ -23,8 +23,8 @@
 
 /// How often loans that have run out are given back.
 const GIVE_BACK: Duration = Duration::from_millis(120);
-/// How long a request that begins a program waits for tokens before it is refused: several rounds
-/// to the owner, or what other entries give back.
+/// How long any request may wait for tokens before it is refused: several rounds to the owner, or what
+/// other entries give back.
 const WAIT: Duration = Duration::from_millis(300);
 /// How long the owner may take to answer.
 const PATIENCE: Duration = Duration::from_millis(250);
@@ -36,7 +36,7 @@
 /// Percent of the burst that is left to programs under way when a program begins, by the rank of its
 /// route. A program that is refused in the middle has been served in vain; one that is refused at its
 /// beginning comes back.
-const RESERVES: [u8; 3] = [25, 45, 60];
+const RESERVES: [u8; 3] = [10, 20, 30];
 
 /// How a request may claim tokens.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -49,10 +49,10 @@
 
 impl Claim {
     /// A request that begins a program.
-    pub(super) fn beginning(rank: u8) -> Self {
+    pub(super) fn beginning(rank: u8, patience: Duration) -> Self {
         Self {
             begins: Some(rank),
-            patience: WAIT,
+            patience: patience.max(WAIT),
         }
     }
 
--- a/crates/celerycove-gateway/src/entry/serve.rs
+++ b/crates/celerycove-gateway/src/entry/serve.rs
@@ -37,8 +37,7 @@
 
 /// How long the stores may take to begin a turn before its caller is told to come back.
 const BEGIN: Duration = Duration::from_millis(2_500);
-/// The part of its time for which a request of a program under way may wait for its organisation's
-/// tokens.
+/// The part of its time for which a request may wait for its organisation's tokens.
 const QUOTA_PART: u32 = 4;
 /// The longest that the body of a request may take to arrive.
 const BODY: Duration = Duration::from_secs(10);
@@ -173,7 +172,7 @@
     }
 
     /// How the request may claim tokens: one that begins a program leaves some to programs under
-    /// way, and these may wait for a part of the time that they have.
+    /// way.
     fn claim(&self, admitted: &Admitted, call: &Call) -> Claim {
         let route = &admitted.route;
         let begins = route.kind == Kind::Streaming
@@ -182,11 +181,12 @@
                 .program
                 .as_ref()
                 .is_some_and(|program| !lock(&self.under_way).contains(program));
+        let time = call.patience.unwrap_or(route.timeout).min(route.timeout);
         if begins {
-            return Claim::beginning(route.priority);
+            Claim::beginning(route.priority, time / QUOTA_PART)
+        } else {
+            Claim::under_way(time / QUOTA_PART)
         }
-        let time = call.patience.unwrap_or(route.timeout).min(route.timeout);
-        Claim::under_way(time / QUOTA_PART)
     }
 
     fn task(
