--- a/crates/celerycove-gateway/src/control/keep.rs
+++ b/crates/celerycove-gateway/src/control/keep.rs
@@ -37,6 +37,8 @@
     led_since: Option<(u64, Timestamp)>,
     gathering: Option<Timestamp>,
     proven: bool,
+    /// The processes that entries were told of last.
+    known: BTreeSet<id::Process>,
 }
 
 impl Control {
@@ -92,8 +94,25 @@
                 })
                 .collect();
         }
-        news.peers = Some(self.seen());
         self.spread.publish(news);
+        self.tell_peers();
+    }
+
+    /// Tells control instances and stores, which change members, who has been heard; entries only
+    /// need to know whom there is.
+    fn tell_peers(&self) {
+        let mut news = self.news();
+        let seen = self.seen();
+        let names: BTreeSet<_> = seen.iter().map(|seen| seen.peer.process.clone()).collect();
+        news.peers = Some(seen);
+        let changed = {
+            let mut keeping = lock(&self.keeping);
+            let changed = keeping.known != names;
+            keeping.known = names;
+            changed
+        };
+        self.spread
+            .publish_to(news, |peer| changed || peer.role != Role::Entry);
     }
 
     async fn lead(&self, now: Timestamp, term: u64) {
--- a/crates/celerycove-gateway/src/spread.rs
+++ b/crates/celerycove-gateway/src/spread.rs
@@ -225,12 +225,19 @@
     }
 
     /// Sends news to all and gives its number.
-    pub fn publish(&self, mut news: News) -> Number {
+    pub fn publish(&self, news: News) -> Number {
+        self.publish_to(news, |_| true)
+    }
+
+    /// Sends news to some and gives its number.
+    pub fn publish_to(&self, mut news: News, to: impl Fn(&Peer) -> bool) -> Number {
         news.number = self.numbers.fetch_add(1, Relaxed) + 1;
         let number = news.number;
         let frame = Frame::News(Box::new(news));
         for subscriber in lock(&self.subscribers).iter() {
-            subscriber.sender.send(&frame);
+            if to(&subscriber.peer) {
+                subscriber.sender.send(&frame);
+            }
         }
         number
     }
