perf: count errors against a backend server

Cause: an answer with a server error counted as an answer like any other, so that a server which fails part of its requests while its heartbeats are good was chosen as often as before. Ruled out: ejecting on the first error (tools fail one call in a hundred by themselves). Tests: direct.rs, a_server_that_fails_part_of_its_requests_is_used_less, a_rare_error_ejects_nobody. Besides: the module of hop-by-hop headers is named for what it does; one branch less in the turns' worker.

--- a/crates/celerycove-control/src/log.rs
+++ b/crates/celerycove-control/src/log.rs
@@ -18,9 +18,10 @@
 /// What an entry does to the state.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Command {
-    /// Nothing; a new leader commits the entries before it with one.
+    /// Nothing.
     Noop,
-    /// Replaces the members; takes hold when appended.
+    /// Replaces the members; takes hold when appended. A new leader states them with its first entry,
+    /// which also commits the entries before it.
     Members(Members),
     /// Judges a proposal of an operator.
     Configure(Proposal),
--- a/crates/celerycove-gateway/src/entry.rs
+++ b/crates/celerycove-gateway/src/entry.rs
@@ -4,7 +4,7 @@
 mod chains;
 mod events;
 mod exchange;
-mod forward;
+mod hop;
 mod pool;
 mod recent;
 mod refuse;
--- a/crates/celerycove-gateway/src/entry/exchange.rs
+++ b/crates/celerycove-gateway/src/entry/exchange.rs
@@ -319,7 +319,16 @@
         if keeps_open(&head) {
             lease.give_back(answer.idle);
         }
-        self.note(&choice, Ending::Answered, "answered", &head.status);
+        if head.status.is_server_error() {
+            self.note(
+                &choice,
+                Ending::Erred,
+                "answered with an error",
+                &head.status,
+            );
+        } else {
+            self.note(&choice, Ending::Answered, "answered", &head.status);
+        }
         Some(Whole {
             head,
             body: collected.to_bytes(),
--- a/crates/celerycove-gateway/src/entry/forward.rs
+++ b/crates/celerycove-gateway/src/entry/hop.rs
@@ -1,4 +1,4 @@
-//! Requests and answers as they are passed on.
+//! Headers that concern one connection and are not passed on.
 
 use hyper::{
     HeaderMap,
--- a/crates/celerycove-gateway/src/entry/serve.rs
+++ b/crates/celerycove-gateway/src/entry/serve.rs
@@ -25,7 +25,7 @@
     allowance::Claim,
     chains::Chain,
     exchange::Task,
-    forward::strip,
+    hop::strip,
     relay::{Kept, Relay, Settlement},
 };
 use crate::{
--- a/crates/celerycove-gateway/src/entry/turns.rs
+++ b/crates/celerycove-gateway/src/entry/turns.rs
@@ -162,13 +162,12 @@
         }
     }
 
+    /// Sends batches to the stores, without waiting for the answer to one before the next.
     async fn work(self: Arc<Self>) {
         loop {
             let urgent = self.urgent.notified();
-            if lock(&self.queue).is_empty() {
-                // An end that nobody waits for is looked for as often as it is collected.
-                let _ = tokio::time::timeout(COLLECT, urgent).await;
-            } else if !self.has_urgent() {
+            if !self.has_urgent() {
+                // Ends that nobody waits for are collected until something urgent comes.
                 let _ = tokio::time::timeout(COLLECT, urgent).await;
             }
             let batch: Vec<Pending> = {
--- a/crates/celerycove-route/src/direct.rs
+++ b/crates/celerycove-route/src/direct.rs
@@ -25,6 +25,11 @@
 const EJECTION: Duration = Duration::from_millis(500);
 /// The longest that a backend server is avoided before it is tried again.
 const LONGEST_EJECTION: Duration = Duration::from_secs(4);
+/// How much of the count of errors is left after another answer: about five answers count.
+const FADING: f64 = 0.8;
+/// A backend server with so many errors of late is avoided: two in a row, or two of any five. A tool that
+/// fails one call in a hundred stays far below.
+const ERRORS: f64 = 1.4;
 /// After this silence a backend server is used only if nothing else is left.
 const SILENCE: Duration = Duration::from_secs(5);
 /// Tokens that an engine caches where its configuration does not say.
@@ -67,6 +72,8 @@
 pub enum Ending {
     /// It answered.
     Answered,
+    /// It answered that it failed, which single requests may be to blame for.
+    Erred,
     /// It declined before running the request.
     Declined,
     /// It could not be reached, broke off, or sent what is no answer.
@@ -82,6 +89,8 @@
     load: Option<(Load, Timestamp)>,
     since_load: u32,
     failures: u32,
+    /// Errors of late, each answer counting [`FADING`] of the one after it.
+    errors: f64,
     ejected_until: Timestamp,
     answered: Timestamp,
     cold_level: f64,
@@ -244,6 +253,7 @@
             load: None,
             since_load: 0,
             failures: 0,
+            errors: 0.0,
             ejected_until: Timestamp::ZERO,
             answered: Timestamp::ZERO,
             cold_level: 1.0,
@@ -280,18 +290,30 @@
     fn judge(&mut self, now: Timestamp, ending: Ending) {
         match ending {
             Ending::Answered => {
-                self.failures = 0;
+                self.errors *= FADING;
+                if self.errors < ERRORS / 2.0 {
+                    self.failures = 0;
+                }
                 self.answered = now;
             }
-            Ending::Failed => {
-                let doubled = EJECTION * 2_u32.saturating_pow(self.failures.min(8));
-                self.failures += 1;
-                self.ejected_until = now + doubled.min(LONGEST_EJECTION);
+            Ending::Erred => {
+                self.errors = self.errors * FADING + 1.0;
+                self.answered = now;
+                if self.errors >= ERRORS {
+                    self.eject(now);
+                }
             }
+            Ending::Failed => self.eject(now),
             Ending::Declined | Ending::Abandoned => {}
         }
     }
 
+    fn eject(&mut self, now: Timestamp) {
+        let doubled = EJECTION * 2_u32.saturating_pow(self.failures.min(8));
+        self.failures += 1;
+        self.ejected_until = now + doubled.min(LONGEST_EJECTION);
+    }
+
     /// Requests running and waiting, by the latest answer and what was sent since.
     fn pressure(&self, now: Timestamp) -> (u32, u32) {
         let told = self
--- a/crates/celerycove-route/tests/direct.rs
+++ b/crates/celerycove-route/tests/direct.rs
@@ -131,6 +131,46 @@
     assert_eq!(third.backend.as_ref(), "e1");
 }
 
+#[test]
+fn a_server_that_fails_part_of_its_requests_is_used_less() {
+    let mut servers = servers("a", &[("e1", "a"), ("e2", "a")]);
+    let mut counts = [0, 0];
+    for n in 0..400_u64 {
+        let now = NOW + Duration::from_millis(n * 25);
+        let need = Need {
+            affinity: n,
+            ..Need::default()
+        };
+        let choice = servers.choose(now, "llm", &need).expect("a server");
+        let grey = choice.backend.as_ref() == "e1";
+        counts[usize::from(!grey)] += 1;
+        let ending = if grey && n % 5 < 2 {
+            Ending::Erred
+        } else {
+            Ending::Answered
+        };
+        servers.end(now, "llm", &choice.backend, ending, None);
+    }
+    assert!(counts[0] * 3 < counts[1], "{counts:?}");
+}
+
+#[test]
+fn a_rare_error_ejects_nobody() {
+    let mut servers = servers("a", &[("e1", "a"), ("e2", "b")]);
+    for n in 0..100 {
+        let choice = servers
+            .choose(NOW, "llm", &Need::default())
+            .expect("a server");
+        assert_eq!(choice.backend.as_ref(), "e1");
+        let ending = if n % 20 == 0 {
+            Ending::Erred
+        } else {
+            Ending::Answered
+        };
+        servers.end(NOW, "llm", "e1", ending, None);
+    }
+}
+
 #[test]
 fn few_engines_left_are_used_even_if_all_have_failed() {
     let mut servers = servers("a", &[("e1", "a")]);
