--- a/crates/celerycove-gateway/src/entry/exchange.rs
+++ b/crates/celerycove-gateway/src/entry/exchange.rs
@@ -82,8 +82,8 @@
     Answered(Box<Exchange>),
     /// It has not run there.
     NotRun,
-    /// It may have run there.
-    Unknown(&'static str),
+    /// It may have run there; what the caller is told if it is not repeated.
+    Unknown(Refusal),
 }
 
 impl Task {
@@ -104,8 +104,7 @@
                 Step::NotRun if self.tries >= MOST_TRIES => return Err(self.none_left()),
                 Step::NotRun => {}
                 Step::Unknown(_) if self.may_repeat() => {}
-                Step::Unknown("time ran out") => return Err(Refusal::TimedOut),
-                Step::Unknown(_) => return Err(Refusal::Failed),
+                Step::Unknown(refusal) => return Err(refusal),
             }
         }
     }
@@ -197,7 +196,7 @@
             Ok(Err(SendError::Broken(error))) => {
                 self.note(&choice, Ending::Failed, "broken", &error);
                 self.fail(choice);
-                Step::Unknown("broken")
+                Step::Unknown(Refusal::Failed)
             }
             Err(_) => {
                 // Where the request's own time was short, its end says nothing of the server.
@@ -209,7 +208,7 @@
                 };
                 self.note(&choice, ending, "no answer in time", &"silence");
                 self.fail(choice);
-                Step::Unknown("time ran out")
+                Step::Unknown(Refusal::TimedOut)
             }
         }
     }
@@ -259,7 +258,7 @@
                 &head.status,
             );
             self.fail(choice);
-            return Step::Unknown("crossed");
+            return Step::Unknown(Refusal::Failed);
         }
         self.sent += 1;
         if let Some(load) = answer.load {
--- a/crates/celerycove-gateway/src/entry/refuse.rs
+++ b/crates/celerycove-gateway/src/entry/refuse.rs
@@ -9,11 +9,11 @@
 
 use crate::http::{self, Body};
 
-/// Why a request gets no answer of a backend server. Those that say so are a promise that the
-/// request has not run and never will.
+/// Why a request gets no answer of a backend server. All but [`Refusal::Failed`] and
+/// [`Refusal::TimedOut`] promise that the request has not run and never will.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Refusal {
-    /// No configuration is known for sure yet. Not run.
+    /// No configuration is known for sure yet.
     NotReady,
     /// A field can't be understood.
     Malformed(&'static str),
@@ -23,21 +23,21 @@
     Key,
     /// The body is too long.
     TooLong,
-    /// The body broke off before it was whole. Not run.
+    /// The body broke off before it was whole.
     BodyBroken,
-    /// The organisation is over its rate. Not run.
+    /// The organisation is over its rate.
     OverRate(Duration),
-    /// The program's budget does not hold the turn. Not run.
+    /// The program's budget does not hold the turn.
     OverBudget,
     /// The turn to continue from is unknown.
     NoTurn,
-    /// The stores can't tell. Not run.
+    /// The stores can't tell.
     NoStore,
-    /// No backend server can take it now. Not run.
+    /// No backend server can take it now.
     NoServer,
-    /// All backend servers that were asked declined. Not run.
+    /// All backend servers that were asked declined.
     Declined,
-    /// The time ran out before it was sent. Not run.
+    /// The time ran out before it was sent.
     TooLate,
     /// A backend server may have run it and gave no whole answer.
     Failed,
