refactor: drop what nothing calls

Found on reading the change again: two questions to a log's node, two to the connections, and a flag of the picture were written and never read. No behaviour changes; the binary's paths are the same.

--- a/crates/celerycove-control/src/node.rs
+++ b/crates/celerycove-control/src/node.rs
@@ -225,21 +225,6 @@
         self.machine.applied
     }
 
-    /// Whether this instance has a vote: not from an empty disk until a leader has caught it up.
-    #[must_use]
-    pub fn is_voter(&self) -> bool {
-        self.machine.ballot.voter && self.machine.is_member()
-    }
-
-    /// For a leader: the members that hold all that was committed.
-    #[must_use]
-    pub fn caught_up(&self) -> Members {
-        let commit = self.machine.commit;
-        let progress = self.machine.progress.iter();
-        let current = progress.filter(|(_, progress)| progress.matched >= commit);
-        current.map(|(peer, _)| peer.clone()).collect()
-    }
-
     /// How long ago a quorum (for a leader) or the leader (for a follower) was heard.
     #[must_use]
     pub fn heard(&self, now: Timestamp) -> Option<Duration> {
--- a/crates/celerycove-gateway/src/link.rs
+++ b/crates/celerycove-gateway/src/link.rs
@@ -146,17 +146,6 @@
         tokio::spawn(outgoing::run(self.clone(), peer.clone(), queue));
     }
 
-    /// Closes the connection to a peer for good.
-    pub fn close(&self, peer: &id::Process) {
-        lock(&self.peers).remove(peer);
-    }
-
-    /// The peers to which connections are kept open.
-    #[must_use]
-    pub fn peers(&self) -> Vec<id::Process> {
-        lock(&self.peers).keys().cloned().collect()
-    }
-
     /// Sends a frame to a peer, opening a connection if there is none.
     pub fn send(self: &Arc<Self>, peer: &id::Process, frame: &Frame) {
         if let Some(sender) = self.sender(peer) {
--- a/crates/celerycove-gateway/src/spread.rs
+++ b/crates/celerycove-gateway/src/spread.rs
@@ -8,7 +8,7 @@
     collections::BTreeMap,
     sync::{
         Mutex,
-        atomic::{AtomicBool, AtomicU64, Ordering::Relaxed},
+        atomic::{AtomicU64, Ordering::Relaxed},
     },
     time::Duration,
 };
@@ -45,7 +45,6 @@
     registry: Mutex<Registry>,
     peers: Mutex<BTreeMap<id::Process, Heard>>,
     leader: Mutex<Option<id::Process>>,
-    proven: AtomicBool,
 }
 
 /// What news changed.
@@ -63,9 +62,6 @@
     pub fn take(&self, news: News) -> Changes {
         let now = clock::now();
         let mut changes = Changes::default();
-        if news.proven {
-            self.proven.store(true, Relaxed);
-        }
         if let Some(view) = news.view {
             changes.view = self.adopt(view, news.proven);
         }
