feat: bound heads and idle times of callers' connections by the configuration

Ruled out: the library's buffer limit alone, which passes a head that arrives in one piece, as the test showed (400 instead of 431). Each new connection now takes the limits in force; the length of a head is also checked when it is admitted. The test fails without either half.

--- a/crates/celerycove-gateway/src/control.rs
+++ b/crates/celerycove-gateway/src/control.rs
@@ -106,8 +106,7 @@
     link::listen(internal, control.clone()).await?;
     control.connect(&control.setup.seed_processes());
     let listener = http::bind(address)?;
-    let limits = http::Limits::default();
-    tokio::spawn(http::serve(listener, limits, control.clone(), stop));
+    tokio::spawn(http::serve(listener, control.clone(), stop));
     tokio::spawn(async move { control.keep().await });
     Ok(())
 }
--- a/crates/celerycove-gateway/src/entry.rs
+++ b/crates/celerycove-gateway/src/entry.rs
@@ -115,13 +115,12 @@
         let service = Arc::new(Readiness(entry.clone()));
         let (keep, never) = watch::channel(false);
         tokio::spawn(async move {
-            http::serve(listener, http::Limits::default(), service, never).await;
+            http::serve(listener, service, never).await;
             drop(keep);
         });
     }
     let listener = http::bind(callers)?;
-    let limits = http::Limits::default();
-    let served = tokio::spawn(http::serve(listener, limits, entry.clone(), stopped));
+    let served = tokio::spawn(http::serve(listener, entry.clone(), stopped));
     let borrowing = entry.clone();
     tokio::spawn(async move { borrowing.borrow().await });
     Ok(Running {
--- a/crates/celerycove-gateway/src/entry/refuse.rs
+++ b/crates/celerycove-gateway/src/entry/refuse.rs
@@ -21,6 +21,8 @@
     NoRoute,
     /// The key is unknown.
     Key,
+    /// The head is too long.
+    HeadTooLong,
     /// The body is too long.
     TooLong,
     /// The body broke off before it was whole.
@@ -61,6 +63,7 @@
             Self::OverBudget => StatusCode::PAYMENT_REQUIRED,
             Self::NoRoute | Self::NoTurn => StatusCode::NOT_FOUND,
             Self::BodyBroken => StatusCode::REQUEST_TIMEOUT,
+            Self::HeadTooLong => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
             Self::OverRate(_) => StatusCode::TOO_MANY_REQUESTS,
             Self::Failed => StatusCode::BAD_GATEWAY,
--- a/crates/celerycove-gateway/src/entry/serve.rs
+++ b/crates/celerycove-gateway/src/entry/serve.rs
@@ -72,6 +72,18 @@
         }
         response
     }
+
+    fn limits(&self) -> http::Limits {
+        let index = self.index.load();
+        let Some(index) = index.as_ref() else {
+            return http::Limits::default();
+        };
+        let limits = &index.config().limits;
+        http::Limits {
+            head: limits.header_bytes,
+            idle: limits.idle_timeout.max(limits.header_timeout),
+        }
+    }
 }
 
 impl Entry {
@@ -153,6 +165,9 @@
     /// Finds the route and whose the request is.
     fn admit(&self, head: &Parts, call: &Call) -> Result<Admitted, Refusal> {
         let index = self.index.load_full().ok_or(Refusal::NotReady)?;
+        if head_bytes(head) > index.config().limits.header_bytes {
+            return Err(Refusal::HeadTooLong);
+        }
         let host = head.headers.get(header::HOST);
         let host = host.and_then(|host| host.to_str().ok()).unwrap_or_default();
         let route = index.route(host, head.uri.path()).ok_or(Refusal::NoRoute)?;
@@ -235,6 +250,18 @@
     }
 }
 
+/// The length of a request's head as it came: the library bounds only what it has to buffer.
+fn head_bytes(head: &Parts) -> usize {
+    const SEPARATORS: usize = ": \r\n".len();
+    let target = head
+        .uri
+        .path_and_query()
+        .map_or(0, |uri| uri.as_str().len());
+    let fields = head.headers.iter();
+    let fields = fields.map(|(name, value)| name.as_str().len() + value.len() + SEPARATORS);
+    target + fields.sum::<usize>()
+}
+
 async fn plain(mut task: Task) -> Result<Response<Body>, Refusal> {
     let whole = task.whole().await?;
     Ok(answered(&task, whole))
--- a/crates/celerycove-gateway/src/http.rs
+++ b/crates/celerycove-gateway/src/http.rs
@@ -27,6 +27,8 @@
 const BACKLOG: u32 = 1_024;
 /// The largest body of an operator or a backend server: a configuration of many routes.
 pub const LARGEST_ORDER: usize = 16 << 20;
+/// The smallest buffer that the library takes.
+const LEAST_BUFFER: usize = 8 << 10;
 /// A peer that acknowledges nothing for so long is gone: a partition closes no connection.
 const PEER_GONE: Duration = Duration::from_secs(6);
 
@@ -37,10 +39,15 @@
         self: Arc<Self>,
         request: Request<Incoming>,
     ) -> impl Future<Output = Response<Body>> + Send;
+
+    /// Bounds on a connection that opens now.
+    fn limits(&self) -> Limits {
+        Limits::default()
+    }
 }
 
 /// Bounds on those who connect.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Limits {
     /// Bytes of a request's head.
     pub head: usize,
@@ -93,16 +100,10 @@
 /// Serves a listener until `stop` is true, then lets open requests finish.
 pub async fn serve<S: Service>(
     listener: TcpListener,
-    limits: Limits,
     service: Arc<S>,
     mut stop: watch::Receiver<bool>,
 ) {
     let graceful = GracefulShutdown::new();
-    let mut builder = hyper::server::conn::http1::Builder::new();
-    builder
-        .timer(TokioTimer::new())
-        .header_read_timeout(limits.idle)
-        .max_buf_size(limits.head.max(8 << 10) * 2);
     loop {
         let stream = tokio::select! {
             accepted = listener.accept() => match accepted {
@@ -116,6 +117,7 @@
             () = stopped(&mut stop) => break,
         };
         tune(&stream);
+        let builder = builder(service.limits());
         let service = service.clone();
         let answer = service_fn(move |request| {
             let service = service.clone();
@@ -132,6 +134,17 @@
     graceful.shutdown().await;
 }
 
+/// Prepares a connection's side of HTTP. The library has one timer for a head and for the idle time
+/// before it, so the longer of both bounds them.
+fn builder(limits: Limits) -> hyper::server::conn::http1::Builder {
+    let mut builder = hyper::server::conn::http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.idle)
+        .max_buf_size(limits.head.max(LEAST_BUFFER));
+    builder
+}
+
 /// Returns when the listener is to stop, never if nobody is left to say so.
 async fn stopped(stop: &mut watch::Receiver<bool>) {
     while !*stop.borrow_and_update() {
--- a/crates/celerycove-gateway/src/metrics.rs
+++ b/crates/celerycove-gateway/src/metrics.rs
@@ -116,7 +116,7 @@
         let (keep, stop) = watch::channel(false);
         let service = self.clone();
         tokio::spawn(async move {
-            http::serve(listener, http::Limits::default(), service, stop).await;
+            http::serve(listener, service, stop).await;
             drop(keep);
         });
         Ok(())
--- a/crates/celerycove-gateway/tests/callers.rs
+++ b/crates/celerycove-gateway/tests/callers.rs
@@ -207,6 +207,18 @@
     });
 }
 
+#[test]
+fn heads_and_idle_times_are_bounded_by_the_configuration() {
+    const LIMITED: &str = "version=3\nroute=plain /plain/ app\nlimits=9000 200\n";
+    fleet::run(async |deployment: &Deployment| {
+        assert_eq!(deployment.configure(LIMITED).await, 200);
+        deployment.stay_silent().await;
+        assert_eq!(deployment.long_head(9_000).await.status, 431);
+        let short = deployment.call("r1", "/plain/x", Some("key-1")).await;
+        assert_eq!(short.status, 200);
+    });
+}
+
 #[test]
 fn a_deployment_that_starts_from_its_disks_goes_on_where_it_stopped() {
     fleet::run_twice(
--- a/crates/celerycove-gateway/tests/callers/dialect.rs
+++ b/crates/celerycove-gateway/tests/callers/dialect.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use celerycove_fleet::{
     Config,
-    config::{Kind, Organisation, Route, Service, Target},
+    config::{Kind, Limits, Organisation, Route, Service, Target},
     registry::{Beat, Stage},
 };
 use celerycove_gateway::dialect::{Answer, Attempt, Call, Dialect, Malformed, Order};
@@ -109,6 +109,7 @@
             match name {
                 "version" => config.version = value.parse().map_err(|_| "no version")?,
                 "route" => config.routes.push(Arc::new(route(value)?)),
+                "limits" => config.limits = limits(value)?,
                 _ => return Err(format!("unknown line {name}")),
             }
         }
@@ -134,6 +135,18 @@
     }
 }
 
+/// Reads `HEAD_BYTES IDLE_MS`.
+fn limits(text: &str) -> Result<Limits, String> {
+    let (head, idle) = text.split_once(' ').ok_or("limits are two numbers")?;
+    let idle = Duration::from_millis(idle.parse().map_err(|_| "no idle time")?);
+    Ok(Limits {
+        header_bytes: head.parse().map_err(|_| "no bytes")?,
+        header_timeout: idle,
+        idle_timeout: idle,
+        ..Limits::default()
+    })
+}
+
 /// Reads `KIND PREFIX SERVICE`.
 fn route(text: &str) -> Result<Route, String> {
     let [kind, prefix, service] = text.split(' ').collect::<Vec<_>>()[..] else {
--- a/crates/celerycove-gateway/tests/callers/fleet.rs
+++ b/crates/celerycove-gateway/tests/callers/fleet.rs
@@ -17,7 +17,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::{Request, Response, body::Incoming, client::conn::http1::handshake};
 use hyper_util::rt::TokioIo;
-use tokio::{net::TcpStream, sync::watch};
+use tokio::{io::AsyncReadExt, net::TcpStream, sync::watch};
 
 use crate::{
     backend::{Backend, Behaviour, Behaviours, Seen},
@@ -235,6 +235,30 @@
         exchange(self.callers, request).await
     }
 
+    /// Sends a request whose head is `bytes` long or more.
+    pub async fn long_head(&self, bytes: usize) -> Reply {
+        let request = Request::post("/plain/x")
+            .header("host", "test")
+            .header("id", "long")
+            .header("filler", "x".repeat(bytes));
+        exchange(
+            self.callers,
+            request.body(Full::default()).expect("a request"),
+        )
+        .await
+    }
+
+    /// Opens a connection, says nothing and waits until the entry closes it.
+    pub async fn stay_silent(&self) {
+        let mut stream = TcpStream::connect(self.callers)
+            .await
+            .expect("a connection");
+        let mut bytes = [0; 64];
+        let read = stream.read(&mut bytes);
+        let read = tokio::time::timeout(Duration::from_secs(10), read).await;
+        assert_eq!(read.expect("an end").expect("no reset"), 0);
+    }
+
     pub async fn stream(&self, id: &str, path: &str) -> Reply {
         self.call(id, path, Some("key-1")).await
     }
