feat: let control run on instances without a disk, and name its first members by who is there

More instances a data centre means some without a disk on other deployments, and seeds that need not be founders. Now instances without a disk pass on what they hear and have orders committed by the leader; the first seed names the first members once, from the instances that have an empty disk. Ruled out: founding by the seeds themselves (they may have no disk), control on the stores' instances (they would then be counted as the core).

--- a/crates/celerycove-control/src/membership.rs
+++ b/crates/celerycove-control/src/membership.rs
@@ -74,6 +74,28 @@
     spread(me, members, candidates, successor)
 }
 
+/// Chooses the first members among instances with an empty disk: of each data centre in turn, and an
+/// odd number, since an even one bears no more losses than the odd one below it.
+#[must_use]
+pub fn founders(there: &BTreeMap<id::Process, id::DataCentre>, most: usize) -> Members {
+    let mut chosen = Members::new();
+    let mut counts: BTreeMap<&id::DataCentre, usize> = BTreeMap::new();
+    while chosen.len() < most {
+        let left = there.iter().filter(|(name, _)| !chosen.contains(*name));
+        let next = left.min_by_key(|(name, at)| {
+            let count = counts.get(at).copied();
+            (count.unwrap_or_default(), (*name).clone())
+        });
+        let Some((name, at)) = next else { break };
+        *counts.entry(at).or_default() += 1;
+        chosen.insert(name.clone());
+    }
+    if chosen.len().is_multiple_of(2) && chosen.len() > 2 {
+        chosen.pop_last();
+    }
+    chosen
+}
+
 fn with(members: &Members, one: &id::Process) -> Members {
     let mut members = members.clone();
     members.insert(one.clone());
--- a/crates/celerycove-control/tests/membership.rs
+++ b/crates/celerycove-control/tests/membership.rs
@@ -1,10 +1,10 @@
 //! Changes of a log's members, one at a time.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use celerycove_control::{
     log::Members,
-    membership::{Candidate, Options, plan},
+    membership::{Candidate, Options, founders, plan},
 };
 
 const OPTIONS: Options = Options {
@@ -85,3 +85,35 @@
         None
     );
 }
+
+fn there(of: &[(&str, &str)]) -> BTreeMap<celerycove_types::id::Process, Arc<str>> {
+    let pairs = of.iter();
+    pairs
+        .map(|(name, data_centre)| ((*name).into(), (*data_centre).into()))
+        .collect()
+}
+
+#[test]
+fn the_first_members_are_spread_over_data_centres() {
+    let there = there(&[
+        ("a1", "x"),
+        ("a2", "x"),
+        ("a3", "x"),
+        ("b1", "y"),
+        ("b2", "y"),
+        ("c1", "z"),
+    ]);
+    assert_eq!(founders(&there, 3), members(&["a1", "b1", "c1"]));
+    assert_eq!(
+        founders(&there, 5),
+        members(&["a1", "a2", "b1", "b2", "c1"])
+    );
+}
+
+#[test]
+fn the_first_members_are_an_odd_number() {
+    let four = there(&[("a", "w"), ("b", "x"), ("c", "y"), ("d", "z")]);
+    assert_eq!(founders(&four, 5), members(&["a", "b", "c"]));
+    let two = there(&[("a", "x"), ("b", "y")]);
+    assert_eq!(founders(&two, 3), members(&["a", "b"]));
+}
--- a/crates/celerycove-disk/src/control.rs
+++ b/crates/celerycove-disk/src/control.rs
@@ -1,6 +1,6 @@
 //! The control log's files: `ballot`, `snapshot` and `log`.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 
 use celerycove_control::{
     Entry,
@@ -12,6 +12,9 @@
     whole,
 };
 
+/// The file that an instance writes first.
+const BALLOT: &str = "ballot";
+
 /// The control log on a disk.
 #[derive(Debug)]
 pub struct Store {
@@ -44,6 +47,12 @@
         Ok(Self { folder, log: None })
     }
 
+    /// Whether an instance has kept its log in a folder before.
+    #[must_use]
+    pub fn is_used(folder: &Path) -> bool {
+        folder.join(BALLOT).exists()
+    }
+
     fn log_path(&self) -> PathBuf {
         self.folder.join("log")
     }
@@ -58,7 +67,7 @@
 
 impl Storage for Store {
     fn load(&mut self) -> Result<Durable, Error> {
-        let ballot = whole::load::<Ballot>(&self.folder.join("ballot")).map_err(fault("load"))?;
+        let ballot = whole::load::<Ballot>(&self.folder.join(BALLOT)).map_err(fault("load"))?;
         let snapshot =
             whole::load::<Snapshot>(&self.folder.join("snapshot")).map_err(fault("load"))?;
         let (records, payloads) = Records::open(&self.log_path()).map_err(fault("load"))?;
@@ -88,7 +97,7 @@
     }
 
     fn save_ballot(&mut self, ballot: &Ballot) -> Result<(), Error> {
-        whole::save(&self.folder.join("ballot"), ballot).map_err(fault("save the ballot of"))
+        whole::save(&self.folder.join(BALLOT), ballot).map_err(fault("save the ballot of"))
     }
 
     fn append(&mut self, entries: &[Entry]) -> Result<(), Error> {
--- a/crates/celerycove-gateway/src/control.rs
+++ b/crates/celerycove-gateway/src/control.rs
@@ -1,12 +1,16 @@
 //! A control instance: hears backend servers and operators, and agrees with its peers.
+//!
+//! Instances with a disk keep the control log. Those without one only pass on what they hear, and
+//! have orders committed by the leader.
 
+mod found;
 mod keep;
 mod operate;
 
 pub(crate) use keep::candidates;
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     sync::{Arc, Mutex, Weak},
     time::Duration,
 };
@@ -59,6 +63,7 @@
     /// Backend servers heard here since the last digest.
     alive: Mutex<BTreeMap<id::Backend, Timestamp>>,
     keeping: Mutex<keep::Keeping>,
+    founding: Mutex<found::Founding>,
 }
 
 /// Starts a control instance.
@@ -72,7 +77,6 @@
     dialect: Arc<dyn Dialect>,
     stop: watch::Receiver<bool>,
 ) -> Result<(), Error> {
-    let data = setup.data.clone().ok_or(Error::Missing("data folder"))?;
     let address = setup
         .listen
         .control
@@ -83,7 +87,8 @@
         role: Role::Control,
         instance: setup.instance.clone(),
         data_centre: setup.data_centre.clone(),
-        founder: setup.bootstrap,
+        keeps: setup.data.is_some(),
+        founder: setup.may_found(),
     };
     let links = Links::new(peer.clone());
     let control = Arc::new_cyclic(|this| Control {
@@ -97,11 +102,14 @@
         seat: Mutex::default(),
         alive: Mutex::default(),
         keeping: Mutex::default(),
+        founding: Mutex::new(found::Founding::new(&setup)),
         setup,
     });
     control.picture.greet(&peer);
     links.handle(control.clone());
-    control.open_group(&me, data)?;
+    if !peer.founder {
+        control.open_group(None)?;
+    }
     let internal = me.parse().map_err(|_| Error::Missing("internal address"))?;
     link::listen(internal, control.clone()).await?;
     control.connect(&control.setup.seed_processes());
@@ -112,29 +120,41 @@
 }
 
 impl Control {
+    /// Opens the log, as one of its first members if `founders` names this instance. Without a disk
+    /// there is none to open.
     fn open_group(
         self: &Arc<Self>,
-        me: &id::Process,
-        data: std::path::PathBuf,
-    ) -> Result<(), Error> {
-        let seeds: std::collections::BTreeSet<_> =
-            self.setup.seed_processes().into_iter().collect();
-        let founds = self.setup.bootstrap && seeds.contains(me);
+        founders: Option<BTreeSet<id::Process>>,
+    ) -> Result<(), celerycove_control::storage::Error> {
+        let Some(data) = self.setup.data.clone() else {
+            return Ok(());
+        };
+        let me = self.setup.process();
+        log::info!(target: "log", founders:? = founders, data:? = data; "the control log opens");
         let storage = Box::new(Store::new(data)?);
         let control = self.clone();
         let group = Group::open(
             me.clone(),
-            founds.then_some(seeds),
+            founders.filter(|founders| founders.contains(&me)),
             storage,
             self.links.clone(),
             options(SNAPSHOT_AFTER),
             Box::new(move |state, index| control.apply(state, index)),
         )?;
-        // The group is opened once, right here.
+        // Opened once: at the start, or when the first members are named.
         let _ = self.group.set(group);
         Ok(())
     }
 
+    /// The newest state known here; without a log, the newest that others told.
+    fn fleet(&self) -> Arc<Fleet> {
+        let state = self.state.load();
+        match self.picture.view() {
+            Some(view) if view.index > state.0 => view.fleet.clone(),
+            _ => state.1.clone(),
+        }
+    }
+
     /// Takes the applied state and tells all if it changed.
     fn apply(&self, state: &State, index: u64) {
         if let Some(term) = self.leads() {
@@ -391,6 +411,7 @@
                 self.connect(&controls);
             }
             Frame::Heard(number) => self.spread.heard(peer, number),
+            Frame::Found(founders) => self.take_founders(&founders),
             Frame::Hello(_) | Frame::Ping | Frame::Reply(..) => {}
         }
     }
--- a/crates/celerycove-gateway/src/control/keep.rs
+++ b/crates/celerycove-gateway/src/control/keep.rs
@@ -21,10 +21,10 @@
 };
 
 /// How often a leader looks at who is there.
-const ROUND: Duration = Duration::from_millis(200);
+pub(super) const ROUND: Duration = Duration::from_millis(200);
 /// How long a leader waits for stores to appear before it names the first members of their log:
 /// instances that start together are there within this time.
-const GATHER: Duration = Duration::from_millis(1_500);
+pub(super) const GATHER: Duration = Duration::from_millis(1_500);
 /// An entry that was silent for so long no longer shares in allowances.
 const DISMISSED: Duration = Duration::from_mins(1);
 /// A new leader changes no members before it has heard who is there.
@@ -57,6 +57,7 @@
                 lock(&self.keeping).digest_at = now;
                 self.digest(now);
             }
+            self.found();
             match self.leads() {
                 Some(term) => self.lead(now, term).await,
                 None => lock(&self.keeping).led_since = None,
@@ -135,7 +136,7 @@
     }
 
     async fn admit(&self) {
-        let known = self.state.load().1.entries.clone();
+        let known = self.fleet().entries.clone();
         let seen = self.picture.peers(Role::Entry);
         for entry in &seen {
             let peer = &entry.peer;
@@ -157,7 +158,7 @@
     }
 
     async fn found_stores(&self, now: Timestamp) {
-        if !self.state.load().1.founders.is_empty() {
+        if !self.fleet().founders.is_empty() {
             return;
         }
         let stores = self.picture.peers(Role::Store);
@@ -172,7 +173,10 @@
         if now < began + GATHER {
             return;
         }
-        let members = spread_out(&founders, self.setup.members());
+        let founders = founders
+            .iter()
+            .map(|seen| (seen.peer.process.clone(), seen.peer.data_centre.clone()));
+        let members = membership::founders(&founders.collect(), self.setup.members());
         let command = Command::FoundStores(members);
         let me = self.setup.process();
         self.decide("first members of the stores' log named", &me, command)
@@ -203,12 +207,13 @@
     }
 }
 
-/// The instances that could be members of a log.
+/// The instances that could be members of a log: those with a disk.
 pub(crate) fn candidates(
     seen: Vec<Seen>,
     retiring: &BTreeSet<id::Process>,
 ) -> BTreeMap<id::Process, Candidate> {
     seen.into_iter()
+        .filter(|seen| seen.peer.keeps)
         .map(|seen| {
             let candidate = Candidate {
                 retiring: retiring.contains(&seen.peer.process),
@@ -219,26 +224,3 @@
         })
         .collect()
 }
-
-/// Takes instances of each data centre in turn.
-fn spread_out(founders: &[&Seen], most: usize) -> BTreeSet<id::Process> {
-    let mut chosen = BTreeSet::new();
-    let mut counts: BTreeMap<&id::DataCentre, usize> = BTreeMap::new();
-    while chosen.len() < most.min(founders.len()) {
-        let next = founders
-            .iter()
-            .filter(|seen| !chosen.contains(&seen.peer.process))
-            .min_by_key(|seen| {
-                let count = counts.get(&seen.peer.data_centre).copied();
-                (count.unwrap_or_default(), seen.peer.process.clone())
-            });
-        let Some(next) = next else { break };
-        *counts.entry(&next.peer.data_centre).or_default() += 1;
-        chosen.insert(next.peer.process.clone());
-    }
-    // An even number bears no more losses than the odd one below it.
-    if chosen.len().is_multiple_of(2) && chosen.len() > 2 {
-        chosen.pop_last();
-    }
-    chosen
-}
--- a/crates/celerycove-gateway/src/control/operate.rs
+++ b/crates/celerycove-gateway/src/control/operate.rs
@@ -167,7 +167,7 @@
     }
 
     async fn retire(&self, instance: &Arc<str>) -> Response<Body> {
-        let state = self.state.load().1.clone();
+        let state = self.fleet();
         if state.retiring.contains_key(instance) {
             return http::json(StatusCode::OK, self.dialect.retirement(false));
         }
--- a/crates/celerycove-gateway/src/entry.rs
+++ b/crates/celerycove-gateway/src/entry.rs
@@ -89,6 +89,7 @@
         role: Role::Entry,
         instance: setup.instance.clone(),
         data_centre: setup.data_centre.clone(),
+        keeps: false,
         founder: false,
     });
     let entry = Arc::new(Entry {
--- a/crates/celerycove-gateway/src/message.rs
+++ b/crates/celerycove-gateway/src/message.rs
@@ -1,6 +1,6 @@
 //! What the processes say to each other.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use celerycove_control::Message;
 use celerycove_fleet::{Fleet, registry::Beat};
@@ -24,6 +24,8 @@
     pub instance: Arc<str>,
     /// Where it stands.
     pub data_centre: id::DataCentre,
+    /// Whether it has a disk on which it can keep a log.
+    pub keeps: bool,
     /// Whether it may found a log: the system starts for the first time and its disk is empty.
     pub founder: bool,
 }
@@ -37,6 +39,8 @@
     Ping,
     /// A message of the replicated log that both belong to.
     Log(Box<Message>),
+    /// The first members of the control log, from the one instance that may name them.
+    Found(BTreeSet<id::Process>),
     /// A question.
     Ask(Number, Ask),
     /// Its answer.
--- a/crates/celerycove-gateway/src/setup.rs
+++ b/crates/celerycove-gateway/src/setup.rs
@@ -2,6 +2,7 @@
 
 use std::{net::SocketAddr, path::PathBuf, sync::Arc, time::Duration};
 
+use celerycove_disk::Store as Disk;
 use celerycove_types::id;
 use serde::{Deserialize, Serialize};
 
@@ -111,6 +112,14 @@
             .collect()
     }
 
+    /// Whether this process may found a log: the system starts for the first time and the disk holds
+    /// none yet.
+    #[must_use]
+    pub fn may_found(&self) -> bool {
+        let empty = |data: &PathBuf| !Disk::is_used(data);
+        self.bootstrap && self.data.as_ref().is_some_and(empty)
+    }
+
     /// How many members a replicated log should have, so that the tolerated losses leave most.
     #[must_use]
     pub fn members(&self) -> usize {
--- a/crates/celerycove-gateway/src/spread.rs
+++ b/crates/celerycove-gateway/src/spread.rs
@@ -229,13 +229,17 @@
     pub fn publish_to(&self, mut news: News, to: impl Fn(&Peer) -> bool) -> Number {
         news.number = self.numbers.fetch_add(1, Relaxed) + 1;
         let number = news.number;
-        let frame = Frame::News(Box::new(news));
+        self.send_to(&Frame::News(Box::new(news)), to);
+        number
+    }
+
+    /// Sends a frame to some.
+    pub fn send_to(&self, frame: &Frame, to: impl Fn(&Peer) -> bool) {
         for subscriber in lock(&self.subscribers).iter() {
             if to(&subscriber.peer) {
-                subscriber.sender.send(&frame);
+                subscriber.sender.send(frame);
             }
         }
-        number
     }
 
     /// Notes that news is in force at a subscriber.
--- a/crates/celerycove-gateway/src/store.rs
+++ b/crates/celerycove-gateway/src/store.rs
@@ -53,7 +53,8 @@
         role: Role::Store,
         instance: setup.instance.clone(),
         data_centre: setup.data_centre.clone(),
-        founder: setup.bootstrap && !data.join("ballot").exists(),
+        keeps: true,
+        founder: setup.may_found(),
     });
     let store = Arc::new_cyclic(|this| Store {
         this: this.clone(),
@@ -64,7 +65,7 @@
     });
     links.handle(store.clone());
     let internal = me.parse().map_err(|_| Error::Missing("internal address"))?;
-    if data.join("ballot").exists() {
+    if Disk::is_used(&data) {
         store.open(None)?;
     }
     link::listen(internal, store.clone()).await?;
@@ -243,7 +244,11 @@
                     self.links.open(&control.peer.process);
                 }
             }
-            Frame::Heard(_) | Frame::Hello(_) | Frame::Ping | Frame::Reply(..) => {}
+            Frame::Found(_)
+            | Frame::Heard(_)
+            | Frame::Hello(_)
+            | Frame::Ping
+            | Frame::Reply(..) => {}
         }
     }
 
