--- a/crates/celerycove-control/src/core.rs
+++ b/crates/celerycove-control/src/core.rs
@@ -13,6 +13,7 @@
     node::{Action, Answer, Options, Token},
     state::{Effect, State},
     storage::{Ballot, Error, Snapshot, Storage},
+    transfer::{Incoming, Outgoing, Position},
 };
 
 /// What a leader knows of a follower.
@@ -25,6 +26,8 @@
     /// When entries were sent from where the logs may agree. Until that is answered, or is late,
     /// no others are sent.
     pub(crate) probing: Option<Timestamp>,
+    /// How much of a snapshot it holds, while it is sent one.
+    pub(crate) installing: Option<Position>,
     /// Answers to earlier rounds may come from a life before the follower lost its disk.
     pub(crate) valid_from: Round,
 }
@@ -56,6 +59,10 @@
     pub(crate) waiting: BTreeMap<Index, Token>,
     pub(crate) actions: Vec<Action>,
     pub(crate) failed: Option<Error>,
+    /// The snapshot that is sent to followers.
+    pub(crate) outgoing: Option<Outgoing>,
+    /// The snapshot that a leader is sending.
+    pub(crate) incoming: Option<Incoming>,
 }
 
 impl Core {
@@ -110,6 +117,8 @@
             waiting: BTreeMap::new(),
             actions: Vec::new(),
             failed: None,
+            outgoing: None,
+            incoming: None,
         };
         core.refresh_members();
         core.restart_election_timer();
@@ -170,20 +179,18 @@
             self.failed = Some(error);
             return;
         }
+        let replaces = entries[0].index <= self.log.last_index();
         self.log.append(entries);
-        self.refresh_members();
+        if replaces {
+            self.refresh_members();
+        } else if let Some(members) = last_members(entries.iter()) {
+            self.members = members;
+        }
     }
 
     /// Takes the members from the last entry that names them, committed or not.
     pub(crate) fn refresh_members(&mut self) {
-        let latest = self
-            .log
-            .iter()
-            .filter_map(|entry| match &entry.command {
-                Command::Members(members) => Some(members.clone()),
-                _ => None,
-            })
-            .last();
+        let latest = last_members(self.log.iter());
         self.members = latest.unwrap_or_else(|| self.base_members.clone());
     }
 
@@ -245,15 +252,8 @@
     }
 
     fn members_at(&self, index: Index) -> Members {
-        self.log
-            .iter()
-            .take_while(|entry| entry.index <= index)
-            .filter_map(|entry| match &entry.command {
-                Command::Members(members) => Some(members.clone()),
-                _ => None,
-            })
-            .last()
-            .unwrap_or_else(|| self.base_members.clone())
+        let until = self.log.iter().take_while(|entry| entry.index <= index);
+        last_members(until).unwrap_or_else(|| self.base_members.clone())
     }
 
     /// Replaces log and state by a leader's snapshot.
@@ -292,3 +292,12 @@
         }
     }
 }
+
+/// The members that the last entry to name any names.
+fn last_members<'a>(entries: impl Iterator<Item = &'a Entry>) -> Option<Members> {
+    let named = entries.filter_map(|entry| match &entry.command {
+        Command::Members(members) => Some(members),
+        _ => None,
+    });
+    named.last().cloned()
+}
--- a/crates/celerycove-control/src/lib.rs
+++ b/crates/celerycove-control/src/lib.rs
@@ -19,6 +19,7 @@
 mod role;
 pub mod state;
 pub mod storage;
+mod transfer;
 
 pub use log::{Command, Entry};
 pub use message::Message;
--- a/crates/celerycove-control/src/message.rs
+++ b/crates/celerycove-control/src/message.rs
@@ -1,11 +1,9 @@
 //! Messages between the instances of the control log.
 
+use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use crate::{
-    log::{Entry, Index, Term},
-    storage::Snapshot,
-};
+use crate::log::{Entry, Index, Term};
 
 /// Counts the rounds in which a leader asks a quorum whether it still leads.
 pub type Round = u64;
@@ -59,7 +57,7 @@
         /// The leader's round.
         round: Round,
     },
-    /// Answers `Append` and `Install`.
+    /// Answers `Append`, and an `Install` that completed the snapshot.
     AppendReply {
         /// The position up to which the logs agree, or `None` if the previous entry did not match.
         matched: Option<Index>,
@@ -68,11 +66,26 @@
         /// The round answered.
         round: Round,
     },
-    /// Brings a follower that lacks entries which the leader no longer has.
+    /// Part of a snapshot for a follower that lacks entries which the leader no longer has.
     Install {
-        /// The snapshot.
-        snapshot: Box<Snapshot>,
+        /// The last position that the snapshot includes.
+        index: Index,
+        /// Bytes of the whole encoded snapshot.
+        total: usize,
+        /// Where the part begins.
+        offset: usize,
+        /// The part's bytes.
+        part: Bytes,
         /// The leader's round.
         round: Round,
     },
+    /// Answers an `Install` that did not complete the snapshot.
+    InstallReply {
+        /// The last position that the snapshot includes.
+        index: Index,
+        /// Bytes held, where the next part is to begin.
+        held: usize,
+        /// The round answered.
+        round: Round,
+    },
 }
--- a/crates/celerycove-control/src/replicate.rs
+++ b/crates/celerycove-control/src/replicate.rs
@@ -34,6 +34,7 @@
     pub(crate) fn stop_leading(&mut self) {
         self.led_since = Index::MAX;
         self.confirmed = None;
+        self.outgoing = None;
         self.abandon_waiting();
         self.restart_election_timer();
     }
@@ -98,6 +99,7 @@
                 round: 0,
                 sent,
                 probing: None,
+                installing: None,
                 valid_from: 0,
             });
         }
@@ -155,7 +157,10 @@
             None if waits => self.heartbeat_body(),
             None => {
                 progress.probing = Some(self.now);
-                self.install_body()
+                let Some(body) = self.install_body(peer) else {
+                    return;
+                };
+                body
             }
         };
         self.send(peer, body);
@@ -172,19 +177,6 @@
         }
     }
 
-    fn install_body(&self) -> Body {
-        let term = self.log.term_at(self.applied).unwrap_or_default();
-        Body::Install {
-            snapshot: Box::new(Snapshot {
-                index: self.applied,
-                term,
-                members: self.members.clone(),
-                state: self.state.clone(),
-            }),
-            round: self.round,
-        }
-    }
-
     pub(crate) fn take_reply(
         &mut self,
         from: &id::Process,
@@ -203,6 +195,10 @@
         match matched {
             Some(matched) => {
                 progress.matched = progress.matched.max(matched);
+                // A snapshot is done with once the follower holds more than the log's base.
+                if matched >= self.log.base() {
+                    progress.installing = None;
+                }
                 // While probing, answers to empty messages say nothing of what was sent.
                 if matched >= progress.next || progress.next == next_index {
                     progress.probing = None;
@@ -212,6 +208,7 @@
             None if last_index < progress.matched => {
                 // It held more before: its disk was lost, and what it acknowledged no longer counts.
                 progress.matched = 0;
+                progress.installing = None;
                 progress.next = last_index + 1;
                 progress.probing = None;
                 progress.valid_from = self.round + 1;
@@ -233,6 +230,7 @@
             }
         }
         let more = progress.next < next_index;
+        self.drop_outgoing();
         self.confirm_round();
         self.advance_commit();
         if more {
@@ -255,7 +253,7 @@
     }
 
     /// Notes the start of the latest round that a quorum has answered.
-    fn confirm_round(&mut self) {
+    pub(crate) fn confirm_round(&mut self) {
         let mut rounds: Vec<Round> = self.progress.values().map(|p| p.round).collect();
         if self.is_member() {
             rounds.push(self.round);
@@ -324,7 +322,6 @@
     }
 
     pub(crate) fn take_snapshot(&mut self, from: &id::Process, snapshot: Snapshot, round: Round) {
-        self.follow(from);
         let index = snapshot.index;
         self.install(snapshot);
         self.become_voter(index);
@@ -332,7 +329,7 @@
         self.reply(from, Some(matched), matched, round);
     }
 
-    fn follow(&mut self, leader: &id::Process) {
+    pub(crate) fn follow(&mut self, leader: &id::Process) {
         self.leader = Some(leader.clone());
         self.heard = Some(self.now);
         self.restart_election_timer();
@@ -352,7 +349,13 @@
         self.save_ballot(ballot);
     }
 
-    fn reply(&mut self, to: &id::Process, matched: Option<Index>, last_index: Index, round: Round) {
+    pub(crate) fn reply(
+        &mut self,
+        to: &id::Process,
+        matched: Option<Index>,
+        last_index: Index,
+        round: Round,
+    ) {
         self.send(
             to,
             Body::AppendReply {
--- a/crates/celerycove-control/src/role.rs
+++ b/crates/celerycove-control/src/role.rs
@@ -104,6 +104,10 @@
                         self.take_reply(from, *matched, *last_index, *round);
                         Handled
                     }
+                    Body::InstallReply { index, held, round } => {
+                        self.take_install_reply(from, *index, *held, *round);
+                        Handled
+                    }
                     _ => Super,
                 }
             }
@@ -178,8 +182,14 @@
                 self.take_append(from, *previous, *previous_term, entries, *commit, *round);
                 return Transition(State::follower());
             }
-            Body::Install { snapshot, round } if current => {
-                self.take_snapshot(from, (**snapshot).clone(), *round);
+            Body::Install {
+                index,
+                total,
+                offset,
+                part,
+                round,
+            } if current => {
+                self.take_install(from, (*index, *total, *offset), part, *round);
                 return Transition(State::follower());
             }
             // A stale sender learns the term from the answer.
@@ -195,7 +205,10 @@
                     },
                 );
             }
-            Body::PreVoteReply { .. } | Body::VoteReply { .. } | Body::AppendReply { .. } => {}
+            Body::PreVoteReply { .. }
+            | Body::VoteReply { .. }
+            | Body::AppendReply { .. }
+            | Body::InstallReply { .. } => {}
         }
         Handled
     }
--- a/crates/celerycove-control/tests/replication.rs
+++ b/crates/celerycove-control/tests/replication.rs
@@ -9,9 +9,11 @@
 use celerycove_control::{
     Action, Command, Entry, Event, Message, Node, Options, Storage,
     log::Members,
+    message::Body,
     node::Proposed,
     storage::{Ballot, Durable, Error, Snapshot},
 };
+use celerycove_turn::{End, Keep};
 use celerycove_types::{Timestamp, id};
 
 const NAMES: [&str; 3] = ["a", "b", "c"];
@@ -53,14 +55,24 @@
     now: Timestamp,
     delivered: usize,
     entries: usize,
+    /// Bytes of the snapshots' parts that were delivered, and the longest part.
+    parts: (usize, usize),
+    /// Every so many messages one is lost.
+    loses: Option<usize>,
 }
 
+const KEEPS_ALL: u64 = 100_000;
+
 fn open(at: usize, bootstrap: bool, now: Timestamp) -> Node {
+    open_with(at, bootstrap, now, KEEPS_ALL)
+}
+
+fn open_with(at: usize, bootstrap: bool, now: Timestamp, snapshot_after: u64) -> Node {
     let members: Members = NAMES.iter().map(|name| id::Process::from(*name)).collect();
     let options = Options {
         heartbeat: Duration::from_millis(120),
         election: Duration::from_millis(550),
-        snapshot_after: 100_000,
+        snapshot_after,
     };
     let bootstrap = bootstrap.then_some(members);
     let disk = Box::new(Disk::default());
@@ -69,13 +81,19 @@
 
 impl Net {
     fn new() -> Self {
-        let nodes = (0..3).map(|at| Some(open(at, true, Timestamp::ZERO)));
+        Self::with_snapshots(KEEPS_ALL)
+    }
+
+    fn with_snapshots(after: u64) -> Self {
+        let nodes = (0..3).map(|at| Some(open_with(at, true, Timestamp::ZERO, after)));
         Self {
             nodes: nodes.collect(),
             queue: VecDeque::new(),
             now: Timestamp::ZERO,
             delivered: 0,
             entries: 0,
+            parts: (0, 0),
+            loses: None,
         }
     }
 
@@ -108,7 +126,16 @@
                     break;
                 };
                 self.delivered += 1;
-                if let celerycove_control::message::Body::Append { entries, .. } = &message.body {
+                if let Body::Install { part, .. } = &message.body {
+                    self.parts = (self.parts.0 + part.len(), self.parts.1.max(part.len()));
+                }
+                let lost = self
+                    .loses
+                    .is_some_and(|every| self.delivered.is_multiple_of(every));
+                if lost {
+                    continue;
+                }
+                if let Body::Append { entries, .. } = &message.body {
                     self.entries += entries.len();
                 }
                 let from = NAMES[from].into();
@@ -130,6 +157,32 @@
         }
     }
 
+    /// Keeps turns with texts of 1,000 bytes.
+    fn keep_turns(&mut self, count: u64) {
+        let leader = self.leader();
+        for token in 0..count {
+            let command = Command::Turn(celerycove_turn::Command::End(End {
+                at: 1,
+                request: format!("turn-{token}").into(),
+                organisation: "o".into(),
+                program: None,
+                spent: 0,
+                keep: Some(Keep {
+                    previous: None,
+                    text: vec![0; 1_000].into(),
+                }),
+                retention: Duration::from_mins(1),
+            }));
+            self.step(leader, Event::Propose(vec![Proposed { token, command }]));
+        }
+    }
+
+    fn kept(&self, at: usize) -> Option<usize> {
+        self.nodes[at]
+            .as_ref()
+            .map(|node| node.state().turns.size().0)
+    }
+
     fn fences(&self, at: usize) -> Option<u64> {
         self.nodes[at].as_ref().map(|node| node.state().fence)
     }
@@ -189,3 +242,62 @@
         assert_eq!(net.fences(at), Some(50), "node {at}");
     }
 }
+
+/// Loses a follower's disk after the leader's log no longer goes back to its beginning.
+fn lose_behind_a_snapshot(net: &mut Net) -> usize {
+    net.run(100, 1_000);
+    net.keep_turns(2_000);
+    net.run(50, 10_000);
+    let lost = (net.leader() + 1) % 3;
+    net.nodes[lost] = Some(open_with(lost, false, net.now, 1_000));
+    lost
+}
+
+#[test]
+fn a_snapshot_goes_in_parts_that_other_messages_pass_between() {
+    let mut net = Net::with_snapshots(1_000);
+    let lost = lose_behind_a_snapshot(&mut net);
+    net.run(200, 1_000);
+    assert_eq!(net.kept(lost), Some(2_000));
+    // 2,000 texts of 1,000 bytes with their names, sent once.
+    assert!(
+        (2_000_000..2_500_000).contains(&net.parts.0),
+        "{:?}",
+        net.parts
+    );
+    assert!(net.parts.1 <= 64 << 10, "{:?}", net.parts);
+}
+
+#[test]
+fn a_snapshot_is_sent_once_over_a_link_on_which_it_takes_long() {
+    let mut net = Net::with_snapshots(1_000);
+    let lost = lose_behind_a_snapshot(&mut net);
+    // Eight messages in a tick of 40 ms, heartbeats included: the snapshot takes seconds.
+    net.run(2_000, 8);
+    assert_eq!(net.kept(lost), Some(2_000));
+    assert!(net.parts.0 < 2_500_000, "{:?}", net.parts);
+}
+
+#[test]
+fn a_snapshot_gets_through_though_parts_of_it_are_lost() {
+    let mut net = Net::with_snapshots(1_000);
+    let lost = lose_behind_a_snapshot(&mut net);
+    net.loses = Some(7);
+    net.run(2_000, 1_000);
+    assert_eq!(net.kept(lost), Some(2_000));
+}
+
+#[test]
+fn a_new_leader_begins_its_own_snapshot_where_the_one_before_was_lost() {
+    let mut net = Net::with_snapshots(1_000);
+    let lost = lose_behind_a_snapshot(&mut net);
+    net.run(5, 8);
+    assert!(net.kept(lost) < Some(2_000));
+    let leader = net.leader();
+    // What is lost here comes back with its disk.
+    let parted = net.nodes[leader].take();
+    net.run(100, 1_000);
+    net.nodes[leader] = parted;
+    net.run(400, 1_000);
+    assert_eq!(net.kept(lost), Some(2_000));
+}
--- a/crates/celerycove-gateway/src/control.rs
+++ b/crates/celerycove-gateway/src/control.rs
@@ -50,6 +50,8 @@
 /// A control instance.
 pub struct Control {
     this: Weak<Self>,
+    /// How this instance greets others.
+    peer: Peer,
     setup: Setup,
     dialect: Arc<dyn Dialect>,
     links: Arc<Links>,
@@ -91,8 +93,10 @@
         founder: setup.may_found(),
     };
     let links = Links::new(peer.clone());
+    let founder = peer.founder;
     let control = Arc::new_cyclic(|this| Control {
         this: this.clone(),
+        peer,
         links: links.clone(),
         dialect,
         group: std::sync::OnceLock::new(),
@@ -105,9 +109,8 @@
         founding: Mutex::new(found::Founding::new(&setup)),
         setup,
     });
-    control.picture.greet(&peer);
     links.handle(control.clone());
-    if !peer.founder {
+    if !founder {
         control.open_group(None)?;
     }
     let internal = me.parse().map_err(|_| Error::Missing("internal address"))?;
--- a/crates/celerycove-gateway/src/control/keep.rs
+++ b/crates/celerycove-gateway/src/control/keep.rs
@@ -49,6 +49,7 @@
         loop {
             rounds.tick().await;
             let now = clock::now();
+            self.picture.greet(&self.peer);
             for peer in self.spread.connected() {
                 self.picture.greet(&peer);
             }
--- a/crates/celerycove-gateway/src/store.rs
+++ b/crates/celerycove-gateway/src/store.rs
@@ -21,8 +21,9 @@
     spread::Picture,
 };
 
-/// Entries of the stores' log between snapshots: two a turn, so that a busy minute fits.
-const SNAPSHOT_AFTER: u64 = 12_000;
+/// Entries of the stores' log between snapshots, two a turn. Writing a snapshot holds the log up, and
+/// reading the entries again holds up a start: about two seconds on a fifth of a core.
+const SNAPSHOT_AFTER: u64 = 30_000;
 /// How long a batch of commands may take to commit before its outcome counts as unknown.
 const COMMIT: Duration = Duration::from_millis(1_500);
 /// How often a leader looks at who is there.
