--- a/crates/celerycove-limit/src/lib.rs
+++ b/crates/celerycove-limit/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod fallback;
 pub mod owner;
+pub mod pace;
 pub mod purse;
 pub mod seat;
 
--- a/crates/celerycove-limit/src/purse.rs
+++ b/crates/celerycove-limit/src/purse.rs
@@ -95,6 +95,7 @@
             open,
             closed: std::mem::take(&mut ledger.closed),
             reserve: 0,
+            begins: false,
         }
     }
 
@@ -113,6 +114,7 @@
             open: Vec::new(),
             closed: std::mem::take(&mut ledger.closed),
             reserve: 0,
+            begins: false,
         })
     }
 
