--- a/crates/celerycove-bench/src/slopes.rs
+++ b/crates/celerycove-bench/src/slopes.rs
@@ -134,7 +134,6 @@
                     open: Vec::new(),
                     closed: Vec::new(),
                     reserve: 0,
-                    begins: false,
                 })
                 .collect();
             let mut now = Duration::from_secs(1);
@@ -154,7 +153,6 @@
         open: vec![(4_294_967_297, 3)],
         closed: vec![(4_294_967_296, 2)],
         reserve: 0,
-        begins: false,
     };
     line("question for tokens", "bytes", &[(1, length(&ask))]);
 }
--- a/crates/celerycove-gateway/src/entry/allowance.rs
+++ b/crates/celerycove-gateway/src/entry/allowance.rs
@@ -248,7 +248,6 @@
             for (at, pocket) in account.purses.iter().enumerate() {
                 if let Some(mut want) = pocket.want(now, &account.name) {
                     want.reserve = at.checked_sub(1).map_or(0, |rank| RESERVES[rank]);
-                    want.begins = at > 0;
                     asking.push((account.clone(), at));
                     wants.push(want);
                 }
--- a/crates/celerycove-limit/src/lib.rs
+++ b/crates/celerycove-limit/src/lib.rs
@@ -9,7 +9,6 @@
 
 pub mod fallback;
 pub mod owner;
-pub mod pace;
 pub mod purse;
 pub mod seat;
 
--- a/crates/celerycove-limit/src/owner.rs
+++ b/crates/celerycove-limit/src/owner.rs
@@ -5,7 +5,7 @@
 use celerycove_types::{Timestamp, Violation, id};
 use serde::{Deserialize, Serialize};
 
-use crate::{pace::Pace, seat::CLOCK_MARGIN};
+use crate::seat::CLOCK_MARGIN;
 
 /// Names a loan of one owner.
 pub type LoanId = u64;
@@ -43,9 +43,6 @@
     /// Percent of the burst that must be left for others.
     #[serde(default)]
     pub reserve: u8,
-    /// Whether the tokens are for requests that begin programs.
-    #[serde(default)]
-    pub begins: bool,
 }
 
 /// Tokens lent.
@@ -68,8 +65,6 @@
     unspent: u32,
     /// Until when it counts.
     until: Timestamp,
-    /// Whether it is for requests that begin programs.
-    begins: bool,
 }
 
 /// The tokens of one organisation.
@@ -78,8 +73,6 @@
     level: f64,
     at: Timestamp,
     lent: BTreeMap<LoanId, Lent>,
-    #[serde(default)]
-    pace: Pace,
 }
 
 impl Bucket {
@@ -110,36 +103,14 @@
         }
         for (loan, unspent) in &ask.closed {
             if let Some(lent) = self.lent.remove(loan) {
-                let back = f64::from(lent.unspent.min(*unspent));
-                self.level += back;
-                self.count(lent.begins, -back);
+                self.level += f64::from(lent.unspent.min(*unspent));
             }
         }
     }
 
-    /// Counts tokens lent, or given back where `count` is below zero.
-    fn count(&mut self, begins: bool, count: f64) {
-        if begins {
-            self.pace.begin(count);
-        } else {
-            self.pace.follow(count);
-        }
-    }
-
-    /// Tokens that an ask may have.
-    fn available(&self, ask: &Ask, owed: Entitlement) -> f64 {
-        let above = self.level - reserve(ask, owed);
-        if ask.begins {
-            above.min(self.pace.allowed(owed))
-        } else {
-            above
-        }
-    }
-
     /// Re-bases the bucket's times from one clock to another.
     fn rebased(mut self, from: Timestamp, to: Timestamp) -> Self {
         self.at = rebase(self.at, from, to);
-        self.pace.rebase(|at| rebase(at, from, to));
         for lent in self.lent.values_mut() {
             lent.until = rebase(lent.until, from, to);
         }
@@ -253,28 +224,22 @@
                 },
                 at: unseen.at,
                 lent: BTreeMap::new(),
-                pace: Pace::default(),
             });
         // Room that a report makes is filled from now on, not from before.
         bucket.refill(now, entitlement);
         bucket.expire(now);
-        bucket.pace.advance(now, entitlement);
         bucket.settle(ask);
-        let tokens = share(bucket.available(ask, entitlement), ask.want);
+        let reserve = f64::from(entitlement.burst) * f64::from(ask.reserve) / 100.0;
+        let tokens = share(bucket.level - reserve, ask.want);
         let lasts = loan_length(entitlement);
         if tokens == 0 {
-            if ask.want > 0 && !ask.begins {
-                bucket.pace.starve(now);
-            }
-            return refuse(bucket, now, entitlement, ask);
+            return refuse(bucket, now, entitlement, reserve);
         }
         bucket.level -= f64::from(tokens);
-        bucket.count(ask.begins, f64::from(tokens));
         self.next += 1;
         let lent = Lent {
             unspent: tokens,
             until: now + lasts.mul_f64(CLOCK_MARGIN) + GIVE_BACK,
-            begins: ask.begins,
         };
         bucket.lent.insert(self.next, lent);
         Loan {
@@ -326,31 +291,20 @@
     Duration::from_secs_f64(quarter.clamp(SHORTEST_LOAN.as_secs_f64(), LONGEST_LOAN.as_secs_f64()))
 }
 
-/// Tokens that must be left for others.
-fn reserve(ask: &Ask, owed: Entitlement) -> f64 {
-    f64::from(owed.burst) * f64::from(ask.reserve) / 100.0
-}
-
-fn refuse(bucket: &Bucket, now: Timestamp, owed: Entitlement, ask: &Ask) -> Loan {
-    let missing = (1.0 + reserve(ask, owed) - bucket.level).max(0.0);
-    let refill = Duration::from_secs_f64(missing / owed.rate);
+fn refuse(bucket: &Bucket, now: Timestamp, entitlement: Entitlement, reserve: f64) -> Loan {
+    let missing = (1.0 + reserve - bucket.level).max(0.0);
+    let refill = Duration::from_secs_f64(missing / entitlement.rate);
     let back = bucket
         .lent
         .values()
         .filter(|lent| lent.unspent > 0)
         .map(|lent| lent.until.saturating_sub(now))
         .min();
-    let retry = back.map_or(refill, |back| back.min(refill));
-    let paced = if ask.begins {
-        bucket.pace.next(owed)
-    } else {
-        Duration::ZERO
-    };
     Loan {
         id: 0,
         tokens: 0,
         lasts: Duration::ZERO,
-        retry: retry.max(paced),
+        retry: back.map_or(refill, |back| back.min(refill)),
         outstanding: back.is_some(),
     }
 }
--- a/crates/celerycove-limit/src/purse.rs
+++ b/crates/celerycove-limit/src/purse.rs
@@ -95,7 +95,6 @@
             open,
             closed: std::mem::take(&mut ledger.closed),
             reserve: 0,
-            begins: false,
         }
     }
 
@@ -114,7 +113,6 @@
             open: Vec::new(),
             closed: std::mem::take(&mut ledger.closed),
             reserve: 0,
-            begins: false,
         })
     }
 
--- a/crates/celerycove-limit/tests/fallback.rs
+++ b/crates/celerycove-limit/tests/fallback.rs
@@ -71,7 +71,6 @@
             open: Vec::new(),
             closed: Vec::new(),
             reserve: 0,
-            begins: false,
         };
         let loan = seat
             .lend(now, Duration::ZERO, &ask, OWED)
--- a/crates/celerycove-limit/tests/limit.rs
+++ b/crates/celerycove-limit/tests/limit.rs
@@ -174,7 +174,6 @@
         open: Vec::new(),
         closed: Vec::new(),
         reserve,
-        begins: false,
     };
     let mut beginning = 0;
     loop {
--- a/crates/celerycove-replay/src/replay/admit.rs
+++ b/crates/celerycove-replay/src/replay/admit.rs
@@ -46,7 +46,6 @@
                 .into_iter()
                 .collect(),
             reserve: 0,
-            begins: false,
         };
         self.spent = closed;
         let loan = self.owner.lend(self.now, &ask, entitlement);
