--- a/crates/celerycove-gateway/src/control.rs
+++ b/crates/celerycove-gateway/src/control.rs
@@ -113,7 +113,7 @@
     if !founder {
         control.open_group(None)?;
     }
-    let internal = me.parse().map_err(|_| Error::Missing("internal address"))?;
+    let internal = control.setup.internal_address()?;
     link::listen(internal, control.clone()).await?;
     control.connect(&control.setup.seed_processes());
     let listener = http::bind(address)?;
--- a/crates/celerycove-gateway/src/entry.rs
+++ b/crates/celerycove-gateway/src/entry.rs
@@ -107,7 +107,7 @@
         setup,
     });
     links.handle(entry.clone());
-    let internal = me.parse().map_err(|_| Error::Missing("internal address"))?;
+    let internal = entry.setup.internal_address()?;
     link::listen(internal, entry.clone()).await?;
     entry.connect(entry.setup.seed_processes());
     let (stop, stopped) = watch::channel(false);
--- a/crates/celerycove-gateway/src/setup.rs
+++ b/crates/celerycove-gateway/src/setup.rs
@@ -49,6 +49,8 @@
     pub control: Option<SocketAddr>,
     /// For readers of metrics.
     pub metrics: Option<SocketAddr>,
+    /// For other processes, where that is not the address by which they know this one.
+    pub internal: Option<SocketAddr>,
 }
 
 /// Times that the deployment promises its users.
@@ -96,6 +98,17 @@
         self.peer(self.ip, self.role)
     }
 
+    /// The address to listen on for other processes.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the process's name is no address.
+    pub fn internal_address(&self) -> Result<SocketAddr, crate::Error> {
+        let named = || self.process().parse().ok();
+        let address = self.listen.internal.or_else(named);
+        address.ok_or(crate::Error::Missing("internal address"))
+    }
+
     /// The name of a process of another role or on another instance.
     #[must_use]
     pub fn peer(&self, ip: std::net::IpAddr, role: Role) -> id::Process {
--- a/crates/celerycove-gateway/src/store.rs
+++ b/crates/celerycove-gateway/src/store.rs
@@ -65,7 +65,7 @@
         setup,
     });
     links.handle(store.clone());
-    let internal = me.parse().map_err(|_| Error::Missing("internal address"))?;
+    let internal = store.setup.internal_address()?;
     if Disk::is_used(&data) {
         store.open(None)?;
     }
--- a/crates/celerycove-gateway/tests/callers/fleet.rs
+++ b/crates/celerycove-gateway/tests/callers/fleet.rs
@@ -139,6 +139,7 @@
                 ready: Some(at(4)),
                 control: Some(at(5)),
                 metrics: None,
+                internal: None,
             },
             seeds: vec![at(5)],
             bootstrap: true,
