fix: let the soak kill a process that is stopping

The soak's own fault, not the product's: the log has 'Address already in use' one second after the first one's last line. Now it stays known until it has ended.

--- a/crates/celerycove-soak/src/fleet.rs
+++ b/crates/celerycove-soak/src/fleet.rs
@@ -8,7 +8,6 @@
     path::{Path, PathBuf},
     process::Stdio,
     sync::Arc,
-    time::Duration,
 };
 
 use celerycove_gateway::setup::Role;
@@ -29,10 +28,6 @@
 const INTERNAL: u16 = 7_780;
 /// Where a process itself listens for others.
 const BEHIND: u16 = 7_880;
-/// The settings' time to stop, and what it may take beyond that.
-const STOP: Duration = Duration::from_secs(6);
-/// How often a process that is to stop is looked at.
-const LOOK: Duration = Duration::from_millis(20);
 /// Part of a record: a length that is not followed by so many bytes.
 const TORN: [u8; 7] = [0, 0, 1, 44, 7, 7, 7];
 
@@ -210,9 +205,25 @@
         Ok(())
     }
 
-    /// Takes a process out that is to stop, so that it can be waited for.
-    pub fn take(&mut self, name: Name) -> Option<Child> {
-        self.slots.get_mut(&name)?.child.take()
+    /// Tells whether the process of this id has ended, and forgets it if so. One that was replaced
+    /// meanwhile has ended.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it can't be waited for.
+    pub fn has_ended(&mut self, name: Name, id: u32) -> std::io::Result<bool> {
+        let Some(slot) = self.slots.get_mut(&name) else {
+            return Ok(true);
+        };
+        let same = slot.child.as_mut().filter(|child| child.id() == Some(id));
+        let Some(child) = same else {
+            return Ok(true);
+        };
+        let ended = child.try_wait()?.is_some();
+        if ended {
+            slot.child = None;
+        }
+        Ok(ended)
     }
 
     /// Leaves part of a record at the end of a process's log, as a write that was cut short.
@@ -282,24 +293,6 @@
     }
 }
 
-/// Waits until a process that was asked to stop has ended, and tells whether it did in time; one that
-/// did not is killed.
-///
-/// # Errors
-///
-/// Returns an error if it can't be waited for.
-pub async fn stopped(mut child: Child) -> std::io::Result<bool> {
-    let begun = tokio::time::Instant::now();
-    while begun.elapsed() < STOP {
-        if child.try_wait()?.is_some() {
-            return Ok(true);
-        }
-        tokio::time::sleep(LOOK).await;
-    }
-    child.kill().await?;
-    Ok(false)
-}
-
 /// A folder that is removed at the end, unless what is in it is to be kept.
 pub struct Folder {
     /// Where it is.
--- a/crates/celerycove-soak/src/run.rs
+++ b/crates/celerycove-soak/src/run.rs
@@ -33,6 +33,10 @@
 const ORDERS: usize = 12;
 /// The pause between tries.
 const PAUSE: Duration = Duration::from_millis(200);
+/// The settings' time to stop, and what it may take beyond that on a busy machine.
+const STOP: Duration = Duration::from_secs(6);
+/// How often a process that is to stop is looked at.
+const LOOK: Duration = Duration::from_millis(20);
 /// What calls under way may take after the callers were told to stop.
 const END: Duration = Duration::from_secs(8);
 /// Backend servers of each service in each data centre.
@@ -299,18 +303,29 @@
         self.fleet.lock().await.spawn(name)
     }
 
+    /// Asks a process to stop, waits until it has and starts it again. Another fault may kill it
+    /// meanwhile.
     async fn restart(&self, name: Name) -> std::io::Result<()> {
-        let child = {
-            let mut fleet = self.fleet.lock().await;
+        let id = {
+            let fleet = self.fleet.lock().await;
             fleet.signal(name, Signal::CONT);
             fleet.signal(name, Signal::TERM);
-            fleet.take(name)
+            fleet.id(name)
         };
-        if let Some(child) = child
-            && !fleet::stopped(child).await?
-        {
-            let seen = format!("{name:?} did not stop in time");
-            self.ledger.accuse("processes stop when asked", seen);
+        let begun = Instant::now();
+        while let Some(id) = id {
+            let mut fleet = self.fleet.lock().await;
+            if fleet.has_ended(name, id)? {
+                break;
+            }
+            if begun.elapsed() > STOP {
+                let seen = format!("{name:?} did not stop within {STOP:?}");
+                self.ledger.accuse("processes stop when asked", seen);
+                fleet.kill(name).await?;
+                break;
+            }
+            drop(fleet);
+            sleep(LOOK).await;
         }
         self.fleet.lock().await.spawn(name)
     }
