perf: let requests wait for a new owner of the rates, and shorten the time without one

An owner is back within about 1.5 s. Now a request waits for it for twice its usual time while the owner was lost less than 2 s ago, and a refusal then names that time instead of the own bucket's. Two tests of the entry's allowances fail on the code before. Ruled out: a larger part of the rate without an owner (a cut would then allow more than the overshoot).

--- a/crates/celerycove-gateway/src/control.rs
+++ b/crates/celerycove-gateway/src/control.rs
@@ -43,7 +43,7 @@
 /// vouches for its state.
 const PROOF: Duration = Duration::from_millis(1_500);
 /// A leader that proved itself longer ago than this lends no tokens: a few heartbeats.
-const AUTHORITY: Duration = Duration::from_millis(400);
+const AUTHORITY: Duration = Duration::from_millis(300);
 /// Entries of the control log between snapshots.
 const SNAPSHOT_AFTER: u64 = 1_024;
 
--- a/crates/celerycove-gateway/src/entry/allowance.rs
+++ b/crates/celerycove-gateway/src/entry/allowance.rs
@@ -33,6 +33,12 @@
 /// Without an owner for so long, the entry helps itself.
 const ALONE: Duration = Duration::from_millis(300);
 
+/// An owner that was lost is replaced within about this time: an election, and the time in which loans of
+/// the one before run out. So long a request rather waits than be refused for want of a share of its own.
+const REPLACED: Duration = Duration::from_secs(2);
+/// How much longer than otherwise a request may wait for a new owner.
+const LONGER: u32 = 2;
+
 /// Percent of the burst that is left to programs under way when a program begins, by the rank of its
 /// route. A program that is refused in the middle has been served in vain; one that is refused at its
 /// beginning comes back.
@@ -200,17 +206,28 @@
             if pocket.purse.spend(now) {
                 return Ok(());
             }
-            let left = patience.saturating_sub(now.saturating_sub(began));
-            if now.saturating_sub(*lock(&self.heard)) > ALONE {
+            let waited = now.saturating_sub(began);
+            let left = patience.saturating_sub(waited);
+            let lost = now.saturating_sub(*lock(&self.heard));
+            if lost > ALONE {
                 pocket.missed.fetch_add(1, Relaxed);
                 let Err(over) = self.help_itself(account, now) else {
                     return Ok(());
                 };
-                if left.is_zero() || over.retry > left {
-                    return Err(over);
-                }
+                let pause = pause_alone(
+                    lost,
+                    over.retry,
+                    left,
+                    (patience * LONGER).saturating_sub(waited),
+                );
+                let Some(pause) = pause else {
+                    return Err(Over {
+                        retry: over.retry.min(REPLACED.saturating_sub(lost).max(WAIT)),
+                        ..over
+                    });
+                };
                 // An owner may be back sooner than the next token of the own bucket.
-                let _ = tokio::time::timeout(over.retry, renewed).await;
+                let _ = tokio::time::timeout(pause, renewed).await;
                 continue;
             }
             let told = lock(&pocket.empty).filter(|(at, _)| *at >= began);
@@ -269,6 +286,20 @@
     }
 }
 
+/// How long a request waits before it looks again, while no owner can be asked; `None` if it is to be
+/// refused. The owner has been `lost` so long, the own bucket has a token after `own`, and the request may
+/// wait for `left`, or for `longer` if a new owner is about to lend.
+fn pause_alone(
+    lost: Duration,
+    own: Duration,
+    left: Duration,
+    longer: Duration,
+) -> Option<Duration> {
+    let limit = if lost < REPLACED { longer } else { left };
+    let in_time = own <= limit || lost < REPLACED;
+    (in_time && !limit.is_zero()).then(|| own.min(limit))
+}
+
 impl Pocket {
     fn want(&self, now: Timestamp, organisation: &id::Organisation) -> Option<Want> {
         let waiting = self.waiting.load(Relaxed) + self.missed.swap(0, Relaxed);
--- a/crates/celerycove-gateway/src/entry/allowance_tests.rs
+++ b/crates/celerycove-gateway/src/entry/allowance_tests.rs
@@ -70,6 +70,53 @@
     });
 }
 
+/// Lends one token to whoever waits.
+fn lend(allowances: &Allowances) {
+    let now = clock::now();
+    let (asking, wants) = allowances.wants(now);
+    let loan = |id| Loan {
+        id,
+        tokens: 1,
+        lasts: Duration::from_secs(1),
+        retry: Duration::ZERO,
+        outstanding: false,
+    };
+    let loans: Vec<Loan> = (1..).take(wants.len()).map(loan).collect();
+    allowances.take(now, &asking, &loans);
+}
+
+#[test]
+fn a_request_waits_for_a_new_owner_where_the_one_before_was_lost_just_now() {
+    run(async {
+        // Alone, one token each 1.7 s: the second request would wait for longer than it may.
+        let allowances = Arc::new(allowances(1.0));
+        *lock(&allowances.heard) = clock::now().saturating_sub(Duration::from_millis(400));
+        assert_eq!(allowances.pass(&organisation(), CLAIM).await, Ok(()));
+        let other = allowances.clone();
+        let waiting = tokio::spawn(async move {
+            let claim = Claim {
+                patience: Duration::from_secs(1),
+                ..CLAIM
+            };
+            other.pass(&organisation(), claim).await
+        });
+        tokio::task::yield_now().await;
+        lend(&allowances);
+        assert_eq!(waiting.await.expect("no panic"), Ok(()));
+    });
+}
+
+#[test]
+fn a_request_is_refused_at_once_where_the_owner_has_been_lost_for_long() {
+    run(async {
+        let allowances = allowances(1.0);
+        *lock(&allowances.heard) = clock::now().saturating_sub(Duration::from_secs(9));
+        assert_eq!(allowances.pass(&organisation(), CLAIM).await, Ok(()));
+        let over = allowances.pass(&organisation(), CLAIM).await;
+        assert!(over.is_err_and(|over| over.alone));
+    });
+}
+
 #[test]
 fn a_request_with_hardly_any_time_left_is_refused_and_nothing_worse() {
     run(async {
--- a/crates/celerycove-limit/src/owner.rs
+++ b/crates/celerycove-limit/src/owner.rs
@@ -10,8 +10,8 @@
 /// Names a loan of one owner.
 pub type LoanId = u64;
 
-/// The longest that a loan lasts.
-pub const LONGEST_LOAN: Duration = Duration::from_millis(500);
+/// The longest that a loan lasts: a new owner waits until all loans of the one before have run out.
+pub const LONGEST_LOAN: Duration = Duration::from_millis(300);
 /// The shortest that a loan lasts.
 pub const SHORTEST_LOAN: Duration = Duration::from_millis(50);
 /// How long after its end a loan may still be given back. Until then its tokens count against the
