perf: tell entries of one data centre which backend servers fail

Now an entry tells, every 150 ms and only if there were failures, how backend servers did; the leader of control passes that on to the entries of the same data centre, since a fault may be seen from one data centre only. It counts like own outcomes, is bounded by the same avoidance, and never readmits. Tests without a network: told once, one error among many answers changes nothing, an earlier incarnation's is not held against the next. Ruled out: telling all data centres (a fault towards one would empty the others of a good server).

--- a/crates/celerycove-gateway/src/control.rs
+++ b/crates/celerycove-gateway/src/control.rs
@@ -20,6 +20,7 @@
 use celerycove_disk::Store;
 use celerycove_fleet::{Command, Config, Fleet};
 use celerycove_limit::{Ask as Want, Loan, Seat, fallback::reduced};
+use celerycove_route::direct::Evidence;
 use celerycove_types::{Timestamp, id};
 use tokio::sync::watch;
 
@@ -357,6 +358,18 @@
             .collect()
     }
 
+    /// Tells the other entries of an entry's data centre how backend servers did there: a fault may be
+    /// seen from one data centre only.
+    fn pass_on(&self, from: &id::Process, evidence: Vec<Evidence>) {
+        let Some(near) = self.fleet().entries.get(from).cloned() else {
+            return;
+        };
+        let near = |peer: &Peer| {
+            peer.role == Role::Entry && peer.data_centre == near && peer.process != *from
+        };
+        self.spread.send_to(&Frame::Evidence(evidence), near);
+    }
+
     fn spawn_reply(&self, number: Number, ask: Ask, back: &Sender) {
         let Some(this) = self.this.upgrade() else {
             return;
@@ -414,6 +427,7 @@
                 self.connect(&controls);
             }
             Frame::Heard(number) => self.spread.heard(peer, number),
+            Frame::Evidence(evidence) => self.pass_on(peer, evidence),
             Frame::Found(founders) => self.take_founders(&founders),
             Frame::Hello(_) | Frame::Ping | Frame::Reply(..) => {}
         }
--- a/crates/celerycove-gateway/src/entry.rs
+++ b/crates/celerycove-gateway/src/entry.rs
@@ -42,6 +42,8 @@
 /// How long an entry that is to stop goes on serving, so that whoever sends callers here notices:
 /// it asks once a second and believes the second answer.
 const NOTICE: Duration = Duration::from_millis(2_600);
+/// How often failures of backend servers are told: several times within the shortest avoidance.
+const EVIDENCE: Duration = Duration::from_millis(150);
 /// What is left of the grace period when the process ends at the latest.
 const SPARE: Duration = Duration::from_millis(700);
 
@@ -124,6 +126,8 @@
     let served = tokio::spawn(http::serve(listener, entry.clone(), stopped));
     let borrowing = entry.clone();
     tokio::spawn(async move { borrowing.borrow().await });
+    let telling = entry.clone();
+    tokio::spawn(async move { telling.tell_evidence().await });
     Ok(Running {
         entry,
         stop,
@@ -230,6 +234,22 @@
         }
     }
 
+    /// Tells other entries, through the leader, of backend servers that failed requests here.
+    async fn tell_evidence(&self) {
+        loop {
+            tokio::time::sleep(EVIDENCE).await;
+            let evidence = lock(&self.servers).evidence();
+            let Some(leader) = self.picture.leader().filter(|_| !evidence.is_empty()) else {
+                continue;
+            };
+            for told in &evidence {
+                log::info!(target: "route", backend:% = told.backend, answered = told.tally.answered,
+                    failed = told.tally.failed; "failures told to other entries");
+            }
+            self.links.send(&leader, &Frame::Evidence(evidence));
+        }
+    }
+
     /// This entry's part of what a cold backend server bears. Only the entries of its own data
     /// centre divide it among themselves, all entries where there are none.
     fn cold_rate(&self, whole: f64, data_centre: &id::DataCentre, fleet: &Fleet) -> f64 {
@@ -258,10 +278,20 @@
     fn opened(&self, _peer: &id::Process, _hello: Option<&Peer>, _back: &Sender) {}
 
     fn take(&self, _peer: &id::Process, frame: Frame, back: &Sender) {
-        if let Frame::News(news) = frame {
-            let number = news.number;
-            self.take_news(*news);
-            back.send(&Frame::Heard(number));
+        match frame {
+            Frame::News(news) => {
+                let number = news.number;
+                self.take_news(*news);
+                back.send(&Frame::Heard(number));
+            }
+            Frame::Evidence(evidence) => {
+                let now = clock::now();
+                let mut servers = lock(&self.servers);
+                for told in &evidence {
+                    servers.hear(now, told);
+                }
+            }
+            _ => {}
         }
     }
 
--- a/crates/celerycove-gateway/src/message.rs
+++ b/crates/celerycove-gateway/src/message.rs
@@ -5,6 +5,7 @@
 use celerycove_control::Message;
 use celerycove_fleet::{Fleet, registry::Beat};
 use celerycove_limit::Loan;
+use celerycove_route::direct::Evidence;
 use celerycove_types::id;
 use serde::{Deserialize, Serialize};
 
@@ -41,6 +42,8 @@
     Log(Box<Message>),
     /// The first members of the control log, from the one instance that may name them.
     Found(BTreeSet<id::Process>),
+    /// How backend servers did at an entry, for others of its data centre.
+    Evidence(Vec<Evidence>),
     /// A question.
     Ask(Number, Ask),
     /// Its answer.
--- a/crates/celerycove-gateway/src/store.rs
+++ b/crates/celerycove-gateway/src/store.rs
@@ -246,6 +246,7 @@
                 }
             }
             Frame::Found(_)
+            | Frame::Evidence(_)
             | Frame::Heard(_)
             | Frame::Hello(_)
             | Frame::Ping
--- a/crates/celerycove-route/src/direct.rs
+++ b/crates/celerycove-route/src/direct.rs
@@ -7,6 +7,7 @@
 use std::{sync::Arc, time::Duration};
 
 use celerycove_types::{Map, Timestamp, id};
+use serde::{Deserialize, Serialize};
 
 use crate::prefix::{Part, Record};
 
@@ -86,6 +87,28 @@
     Abandoned,
 }
 
+/// How a backend server did at one entry for a while, told to others.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Tally {
+    /// Requests that it answered.
+    pub answered: u32,
+    /// Requests that it failed or broke off.
+    pub failed: u32,
+}
+
+/// A tally and whose it is.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Evidence {
+    /// The service.
+    pub service: Arc<str>,
+    /// The backend server.
+    pub backend: id::Backend,
+    /// Its incarnation.
+    pub born: id::Incarnation,
+    /// How it did.
+    pub tally: Tally,
+}
+
 #[derive(Debug, Clone)]
 struct Server {
     facts: Facts,
@@ -100,6 +123,8 @@
     cold_level: f64,
     cold_at: Timestamp,
     record: Record,
+    /// How it did since others were last told.
+    tally: Tally,
 }
 
 /// What a request needs.
@@ -236,6 +261,31 @@
         }
     }
 
+    /// How backend servers did since this was last asked, of those that failed requests.
+    pub fn evidence(&mut self) -> Vec<Evidence> {
+        let services = self.services.iter_mut();
+        let servers = services
+            .flat_map(|(service, servers)| servers.iter_mut().map(move |server| (service, server)));
+        servers
+            .map(|(service, server)| (service, std::mem::take(&mut server.tally), server))
+            .filter(|(_, tally, _)| tally.failed > 0)
+            .map(|(service, tally, server)| Evidence {
+                service: service.clone(),
+                backend: server.facts.backend.clone(),
+                born: server.facts.born,
+                tally,
+            })
+            .collect()
+    }
+
+    /// Takes what another entry of the same data centre saw.
+    pub fn hear(&mut self, now: Timestamp, evidence: &Evidence) {
+        let server = self.find(&evidence.service, &evidence.backend);
+        if let Some(server) = server.filter(|server| server.facts.born == evidence.born) {
+            server.weigh(now, evidence.tally);
+        }
+    }
+
     /// How many backend servers a service has.
     #[must_use]
     pub fn count(&self, service: &str) -> usize {
@@ -263,6 +313,7 @@
             cold_level: 1.0,
             cold_at: now,
             record: Record::default(),
+            tally: Tally::default(),
         }
     }
 
@@ -291,7 +342,25 @@
         self.since_load += 1;
     }
 
+    /// Counts what another entry saw as if it had been seen here, errors and answers evenly mixed. It
+    /// never readmits a backend server that fails here.
+    fn weigh(&mut self, now: Timestamp, tally: Tally) {
+        let count = i32::try_from(tally.answered + tally.failed).unwrap_or(i32::MAX);
+        let fresh = f64::from(tally.failed) / f64::from(count.max(1));
+        // The weights of so many outcomes in a row, the last one counting one.
+        let weights = (1.0 - FADING.powi(count)) / (1.0 - FADING);
+        self.errors = self.errors * FADING.powi(count) + fresh * weights;
+        if self.errors >= ERRORS && now >= self.ejected_until {
+            self.eject(now);
+        }
+    }
+
     fn judge(&mut self, now: Timestamp, ending: Ending) {
+        match ending {
+            Ending::Answered => self.tally.answered += 1,
+            Ending::Erred | Ending::Failed => self.tally.failed += 1,
+            Ending::Declined | Ending::Abandoned => {}
+        }
         match ending {
             Ending::Answered => {
                 self.errors *= FADING;
--- a/crates/celerycove-route/tests/direct.rs
+++ b/crates/celerycove-route/tests/direct.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use celerycove_route::{
-    direct::{Ending, Facts, Load, Need, Servers, affinity},
+    direct::{Ending, Evidence, Facts, Load, Need, Servers, Tally, affinity},
     prefix::Part,
 };
 use celerycove_types::Timestamp;
@@ -192,6 +192,91 @@
     assert!(counts[0] * 3 < counts[1], "{counts:?}");
 }
 
+#[test]
+fn what_other_entries_saw_fail_is_avoided_before_it_fails_here() {
+    let of = [("e1", "a"), ("e2", "a"), ("e3", "a")];
+    let mut elsewhere = servers("a", &of);
+    let mut here = servers("a", &of);
+    for _ in 0..2 {
+        let need = Need {
+            avoid: &["e1".into(), "e3".into()],
+            ..Need::default()
+        };
+        elsewhere.choose(NOW, "llm", &need).expect("a server");
+        elsewhere.end(NOW, "llm", "e2", Ending::Erred, None);
+    }
+    let evidence = elsewhere.evidence();
+    assert_eq!(evidence.len(), 1);
+    assert!(elsewhere.evidence().is_empty(), "told once");
+    here.hear(NOW, &evidence[0]);
+    for program in 0..20 {
+        let need = Need {
+            affinity: affinity(&format!("program-{program}")),
+            ..Need::default()
+        };
+        let choice = here.choose(NOW, "llm", &need).expect("a server");
+        assert_ne!(choice.backend.as_ref(), "e2");
+        here.end(NOW, "llm", &choice.backend, Ending::Answered, None);
+    }
+}
+
+#[test]
+fn one_error_among_many_answers_elsewhere_changes_nothing_here() {
+    let mut here = servers("a", &[("e1", "a"), ("e2", "a")]);
+    for _ in 0..20 {
+        here.hear(
+            NOW,
+            &Evidence {
+                service: "llm".into(),
+                backend: "e1".into(),
+                born: 1,
+                tally: Tally {
+                    answered: 12,
+                    failed: 1,
+                },
+            },
+        );
+    }
+    let need = Need {
+        avoid: &["e2".into()],
+        ..Need::default()
+    };
+    let choice = here.choose(NOW, "llm", &need).expect("a server");
+    here.end(NOW, "llm", "e1", Ending::Answered, None);
+    assert_eq!(choice.backend.as_ref(), "e1");
+    // It would be the second choice if it were avoided.
+    let mut chosen = std::collections::BTreeSet::new();
+    for program in 0..20 {
+        let need = Need {
+            affinity: affinity(&format!("program-{program}")),
+            ..Need::default()
+        };
+        let choice = here.choose(NOW, "llm", &need).expect("a server");
+        here.end(NOW, "llm", &choice.backend, Ending::Answered, None);
+        chosen.insert(choice.backend);
+    }
+    assert_eq!(chosen.len(), 2);
+}
+
+#[test]
+fn evidence_of_an_earlier_incarnation_is_not_held_against_the_next() {
+    let mut here = servers("a", &[("e1", "a")]);
+    let before = here.clone();
+    here.hear(
+        NOW,
+        &Evidence {
+            service: "llm".into(),
+            backend: "e1".into(),
+            born: 0,
+            tally: Tally {
+                answered: 0,
+                failed: 9,
+            },
+        },
+    );
+    assert_eq!(format!("{here:?}"), format!("{before:?}"));
+}
+
 #[test]
 fn a_rare_error_ejects_nobody() {
     let mut servers = servers("a", &[("e1", "a"), ("e2", "b")]);
