fix: let an instance that lost its disk have its vote back only from a leader that is still one

Acknowledged turns or configurations could have been lost after a cut and a lost disk at once. Now answers of an instance without a vote count for nothing, and it gets its vote back only once a quorum of voters has answered a round that began after the instance heard its leader: a replaced leader has no such quorum. The disks of randomised runs are one module now.

--- a/crates/celerycove-control/src/core.rs
+++ b/crates/celerycove-control/src/core.rs
@@ -8,7 +8,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::{
-    log::{Command, Entry, Index, Log, Members},
+    log::{Command, Entry, Index, Log, Members, Term},
     message::{Body, Message, Round},
     node::{Action, Answer, Options, Token},
     state::{Effect, State},
@@ -20,6 +20,8 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Progress {
     pub(crate) matched: Index,
+    /// Whether it said that it has a vote.
+    pub(crate) voter: bool,
     pub(crate) next: Index,
     pub(crate) round: Round,
     pub(crate) sent: Timestamp,
@@ -54,6 +56,10 @@
     pub(crate) rounds: BTreeMap<Round, Timestamp>,
     pub(crate) round: Round,
     pub(crate) confirmed: Option<Timestamp>,
+    /// The latest round that a quorum of voters has answered, for a leader.
+    pub(crate) confirmed_round: Round,
+    /// The first round that an instance without a vote heard of the leader of a term.
+    pub(crate) first_heard: Option<(Term, Round)>,
     pub(crate) heartbeat_due: Timestamp,
     pub(crate) led_since: Index,
     pub(crate) waiting: BTreeMap<Index, Token>,
@@ -112,6 +118,8 @@
             rounds: BTreeMap::new(),
             round: 0,
             confirmed: None,
+            confirmed_round: 0,
+            first_heard: None,
             heartbeat_due: now,
             led_since: Index::MAX,
             waiting: BTreeMap::new(),
--- a/crates/celerycove-control/src/membership.rs
+++ b/crates/celerycove-control/src/membership.rs
@@ -30,9 +30,27 @@
 /// Plans the next single change of the members, or `None` if they are as they should be.
 ///
 /// A lost member is removed before its successor is added: that can be committed by the same
-/// quorum as before, while adding first would need the successor's own vote.
+/// quorum as before, while adding first would need the successor's own vote. Nothing is changed where
+/// the members after the change would have no majority of `voters` who are heard: it could not be
+/// committed, and who lacks a vote could not get one.
 #[must_use]
 pub fn plan(
+    me: &id::Process,
+    members: &Members,
+    voters: &Members,
+    candidates: &BTreeMap<id::Process, Candidate>,
+    options: Options,
+) -> Option<Members> {
+    let heard = |member: &&id::Process| {
+        let known = candidates.get(*member);
+        *member == me || known.is_some_and(|candidate| candidate.silent < options.silence)
+    };
+    let stand = |after: &Members| after.intersection(voters).filter(heard).count();
+    let after = next(me, members, candidates, options)?;
+    (stand(&after) > after.len() / 2).then_some(after)
+}
+
+fn next(
     me: &id::Process,
     members: &Members,
     candidates: &BTreeMap<id::Process, Candidate>,
--- a/crates/celerycove-control/src/message.rs
+++ b/crates/celerycove-control/src/message.rs
@@ -56,6 +56,8 @@
         commit: Index,
         /// The leader's round.
         round: Round,
+        /// The latest round that a quorum of voters has answered.
+        confirmed: Round,
     },
     /// Answers `Append`, and an `Install` that completed the snapshot.
     AppendReply {
@@ -65,6 +67,9 @@
         last_index: Index,
         /// The round answered.
         round: Round,
+        /// Whether the sender has a vote. Without one, it may have forgotten what it acknowledged to
+        /// a later leader, so that its answers count for nothing.
+        voter: bool,
     },
     /// Part of a snapshot for a follower that lacks entries which the leader no longer has.
     Install {
@@ -78,6 +83,8 @@
         part: Bytes,
         /// The leader's round.
         round: Round,
+        /// The latest round that a quorum of voters has answered.
+        confirmed: Round,
     },
     /// Answers an `Install` that did not complete the snapshot.
     InstallReply {
@@ -87,5 +94,7 @@
         held: usize,
         /// The round answered.
         round: Round,
+        /// Whether the sender has a vote.
+        voter: bool,
     },
 }
--- a/crates/celerycove-control/src/node.rs
+++ b/crates/celerycove-control/src/node.rs
@@ -9,12 +9,16 @@
 use crate::{
     core::Core,
     log::{Command, Entry, Index, Members, Term},
-    message::{Body, Message},
+    message::{Body, Message, Round},
     role::{self, Input},
     state::State,
     storage::{Error, Storage},
 };
 
+/// Rounds after which a member that has not answered may have lost its vote meanwhile; enough for answers
+/// that take a few heartbeats.
+const RECENT_ROUNDS: Round = 5;
+
 /// Matches an answer to its question.
 pub type Token = u64;
 
@@ -237,6 +241,17 @@
         &self.machine.members
     }
 
+    /// For a leader: the members that said in one of the last rounds that they have a vote, itself
+    /// included. What was said before may no longer hold: a disk can be lost at any time.
+    #[must_use]
+    pub fn voters(&self) -> Members {
+        let since = self.machine.round.saturating_sub(RECENT_ROUNDS);
+        let peers = self.machine.progress.iter();
+        let voters = peers.filter(|(_, peer)| peer.voter && peer.round >= since);
+        let own = self.is_leader().then(|| self.machine.me.clone());
+        voters.map(|(peer, _)| peer.clone()).chain(own).collect()
+    }
+
     /// For a leader: how long ago its state was surely the newest.
     #[must_use]
     pub fn freshness(&self, now: Timestamp) -> Option<Duration> {
--- a/crates/celerycove-control/src/replicate.rs
+++ b/crates/celerycove-control/src/replicate.rs
@@ -21,6 +21,7 @@
     pub(crate) fn start_leading(&mut self) {
         self.leader = Some(self.me.clone());
         self.confirmed = None;
+        self.confirmed_round = 0;
         self.rounds.clear();
         self.progress.clear();
         self.led_since = self.log.last_index() + 1;
@@ -95,6 +96,7 @@
             let sent = self.now;
             self.progress.entry(peer).or_insert(Progress {
                 matched: 0,
+                voter: false,
                 next,
                 round: 0,
                 sent,
@@ -152,6 +154,7 @@
                     entries,
                     commit: self.commit,
                     round: self.round,
+                    confirmed: self.confirmed_round,
                 }
             }
             None if waits => self.heartbeat_body(),
@@ -174,6 +177,7 @@
             entries: Vec::new(),
             commit: self.commit,
             round: self.round,
+            confirmed: self.confirmed_round,
         }
     }
 
@@ -182,7 +186,7 @@
         from: &id::Process,
         matched: Option<Index>,
         last_index: Index,
-        round: Round,
+        (round, voter): (Round, bool),
     ) {
         let next_index = self.log.last_index() + 1;
         let Some(progress) = self.progress.get_mut(from) else {
@@ -192,6 +196,7 @@
             return;
         }
         progress.round = progress.round.max(round);
+        progress.voter = voter;
         match matched {
             Some(matched) => {
                 progress.matched = progress.matched.max(matched);
@@ -254,12 +259,14 @@
 
     /// Notes the start of the latest round that a quorum has answered.
     pub(crate) fn confirm_round(&mut self) {
-        let mut rounds: Vec<Round> = self.progress.values().map(|p| p.round).collect();
+        let voters = self.progress.values().filter(|peer| peer.voter);
+        let mut rounds: Vec<Round> = voters.map(|peer| peer.round).collect();
         if self.is_member() {
             rounds.push(self.round);
         }
         rounds.sort_unstable_by(|a, b| b.cmp(a));
         let answered = rounds.get(self.quorum() - 1).copied().unwrap_or_default();
+        self.confirmed_round = self.confirmed_round.max(answered);
         if let Some(started) = self.rounds.get(&answered) {
             self.confirmed = self.confirmed.max(Some(*started));
             self.heard = self.confirmed;
@@ -269,7 +276,8 @@
 
     /// Commits what a quorum holds, once an entry of the own term is among it.
     fn advance_commit(&mut self) {
-        let mut matched: Vec<Index> = self.progress.values().map(|p| p.matched).collect();
+        let voters = self.progress.values().filter(|peer| peer.voter);
+        let mut matched: Vec<Index> = voters.map(|peer| peer.matched).collect();
         if self.is_member() {
             matched.push(self.log.last_index());
         }
@@ -299,9 +307,10 @@
         previous_term: Term,
         entries: &[Entry],
         commit: Index,
-        round: Round,
+        (round, confirmed): (Round, Round),
     ) {
         self.follow(from);
+        self.hear_round(round);
         let agrees =
             previous < self.log.base() || self.log.term_at(previous) == Some(previous_term);
         if !agrees {
@@ -317,14 +326,19 @@
         }
         let matched = previous + entries.len() as Index;
         self.commit_to(commit.min(matched));
-        self.become_voter(commit);
+        self.become_voter(commit, confirmed);
         self.reply(from, Some(matched), matched, round);
     }
 
-    pub(crate) fn take_snapshot(&mut self, from: &id::Process, snapshot: Snapshot, round: Round) {
+    pub(crate) fn take_snapshot(
+        &mut self,
+        from: &id::Process,
+        snapshot: Snapshot,
+        (round, confirmed): (Round, Round),
+    ) {
         let index = snapshot.index;
         self.install(snapshot);
-        self.become_voter(index);
+        self.become_voter(index, confirmed);
         let matched = self.commit.max(index);
         self.reply(from, Some(matched), matched, round);
     }
@@ -335,12 +349,28 @@
         self.restart_election_timer();
     }
 
+    /// Notes the first round heard of the leader of a term.
+    pub(crate) fn hear_round(&mut self, round: Round) {
+        let term = self.ballot.term;
+        if self.first_heard.is_none_or(|(of, _)| of != term) {
+            self.first_heard = Some((term, round));
+        }
+    }
+
     /// An instance that began with an empty disk may vote again once it holds all that its leader
-    /// knows to be committed; it never votes again in the leader's own term.
-    fn become_voter(&mut self, leader_commit: Index) {
+    /// knows to be committed, and a quorum of voters has answered a round that began after it was heard
+    /// here: a leader that was replaced with this instance's forgotten vote has no such quorum. It never
+    /// votes again in the leader's own term.
+    fn become_voter(&mut self, leader_commit: Index, confirmed: Round) {
         if self.ballot.voter || self.commit < leader_commit || !self.is_member() {
             return;
         }
+        let first = self
+            .first_heard
+            .filter(|(term, _)| *term == self.ballot.term);
+        if first.is_none_or(|(_, first)| confirmed < first) {
+            return;
+        }
         let ballot = Ballot {
             term: self.ballot.term,
             vote: self.leader.clone(),
@@ -362,6 +392,7 @@
                 matched,
                 last_index,
                 round,
+                voter: self.ballot.voter,
             },
         );
     }
--- a/crates/celerycove-control/src/role.rs
+++ b/crates/celerycove-control/src/role.rs
@@ -100,12 +100,18 @@
                         matched,
                         last_index,
                         round,
+                        voter,
                     } => {
-                        self.take_reply(from, *matched, *last_index, *round);
+                        self.take_reply(from, *matched, *last_index, (*round, *voter));
                         Handled
                     }
-                    Body::InstallReply { index, held, round } => {
-                        self.take_install_reply(from, *index, *held, *round);
+                    Body::InstallReply {
+                        index,
+                        held,
+                        round,
+                        voter,
+                    } => {
+                        self.take_install_reply(from, *index, *held, (*round, *voter));
                         Handled
                     }
                     _ => Super,
@@ -178,8 +184,10 @@
                 entries,
                 commit,
                 round,
+                confirmed,
             } if current => {
-                self.take_append(from, *previous, *previous_term, entries, *commit, *round);
+                let rounds = (*round, *confirmed);
+                self.take_append(from, *previous, *previous_term, entries, *commit, rounds);
                 return Transition(State::follower());
             }
             Body::Install {
@@ -188,22 +196,17 @@
                 offset,
                 part,
                 round,
+                confirmed,
             } if current => {
-                self.take_install(from, (*index, *total, *offset), part, *round);
+                let rounds = (*round, *confirmed);
+                self.take_install(from, (*index, *total, *offset), part, rounds);
                 return Transition(State::follower());
             }
             // A stale sender learns the term from the answer.
             Body::Vote { .. } => self.send(from, Body::VoteReply { granted: false }),
             Body::Append { round, .. } | Body::Install { round, .. } => {
                 let (last_index, round) = (self.log.last_index(), *round);
-                self.send(
-                    from,
-                    Body::AppendReply {
-                        matched: None,
-                        last_index,
-                        round,
-                    },
-                );
+                self.reply(from, None, last_index, round);
             }
             Body::PreVoteReply { .. }
             | Body::VoteReply { .. }
--- a/crates/celerycove-control/src/transfer.rs
+++ b/crates/celerycove-control/src/transfer.rs
@@ -50,7 +50,7 @@
     /// The next part for a follower, or `None` if the snapshot can't be encoded.
     pub(crate) fn install_body(&mut self, peer: &id::Process) -> Option<Body> {
         let outgoing = self.outgoing()?;
-        let round = self.round;
+        let (round, confirmed) = (self.round, self.confirmed_round);
         let progress = self.progress.get_mut(peer)?;
         let begun = progress
             .installing
@@ -67,6 +67,7 @@
             offset: position.offset,
             part: outgoing.bytes.slice(position.offset.min(end)..end),
             round,
+            confirmed,
         })
     }
 
@@ -110,7 +111,7 @@
         from: &id::Process,
         index: Index,
         held: usize,
-        round: Round,
+        (round, voter): (Round, bool),
     ) {
         let Some(progress) = self.progress.get_mut(from) else {
             return;
@@ -119,6 +120,7 @@
             return;
         }
         progress.round = progress.round.max(round);
+        progress.voter = voter;
         if let Some(position) = &mut progress.installing
             && position.index == index
             && position.offset != held
@@ -137,9 +139,10 @@
         from: &id::Process,
         (index, total, offset): (Index, usize, usize),
         part: &Bytes,
-        round: Round,
+        (round, confirmed): (Round, Round),
     ) {
         self.follow(from);
+        self.hear_round(round);
         if index <= self.commit {
             // It was completed before; the answer to that was lost.
             self.reply(from, Some(self.commit), self.commit, round);
@@ -161,11 +164,18 @@
         let held = incoming.bytes.len();
         if held < total {
             self.incoming = Some(incoming);
-            self.send(from, Body::InstallReply { index, held, round });
+            let voter = self.ballot.voter;
+            let reply = Body::InstallReply {
+                index,
+                held,
+                round,
+                voter,
+            };
+            self.send(from, reply);
             return;
         }
         match rmp_serde::from_slice::<Snapshot>(&incoming.bytes) {
-            Ok(snapshot) => self.take_snapshot(from, snapshot, round),
+            Ok(snapshot) => self.take_snapshot(from, snapshot, (round, confirmed)),
             Err(error) => self.failed = Some(fault("decode a snapshot for", &error)),
         }
     }
--- a/crates/celerycove-control/tests/membership.rs
+++ b/crates/celerycove-control/tests/membership.rs
@@ -4,7 +4,7 @@
 
 use celerycove_control::{
     log::Members,
-    membership::{Candidate, Options, founders, plan},
+    membership::{self, Candidate, Options, founders},
 };
 
 const OPTIONS: Options = Options {
@@ -29,6 +29,26 @@
         .collect()
 }
 
+/// Plans where all members have a vote.
+fn plan(
+    me: &celerycove_types::id::Process,
+    before: &Members,
+    known: &BTreeMap<celerycove_types::id::Process, Candidate>,
+    options: Options,
+) -> Option<Members> {
+    membership::plan(me, before, before, known, options)
+}
+
+#[test]
+fn a_lost_member_is_not_removed_while_another_has_no_vote() {
+    let known = candidates(&[("a", "x", 0), ("b", "y", 0), ("c", "z", 9), ("d", "z", 0)]);
+    let before = members(&["a", "b", "c"]);
+    let plan =
+        |voters: &[&str]| membership::plan(&"a".into(), &before, &members(voters), &known, OPTIONS);
+    assert_eq!(plan(&["a", "c"]), None, "b lost its disk just now");
+    assert_eq!(plan(&["a", "b", "c"]), Some(members(&["a", "b"])));
+}
+
 #[test]
 fn a_lost_member_stays_until_someone_can_take_its_place() {
     let known = candidates(&[("a", "x", 0), ("b", "y", 0), ("c", "z", 9)]);
--- a/crates/celerycove-gateway/src/control/keep.rs
+++ b/crates/celerycove-gateway/src/control/keep.rs
@@ -202,7 +202,9 @@
         let seen = self.picture.peers(Role::Control);
         let candidates = candidates(seen, &BTreeSet::new());
         let me = self.setup.process();
-        if let Some(members) = membership::plan(&me, &status.members, &candidates, options) {
+        if let Some(members) =
+            membership::plan(&me, &status.members, &status.voters, &candidates, options)
+        {
             log::info!(target: "place", before:? = status.members, after:? = members;
                 "members of the control log are to change");
             group.propose(Entry::Members(members), ROUND * 4).await;
--- a/crates/celerycove-gateway/src/group.rs
+++ b/crates/celerycove-gateway/src/group.rs
@@ -59,6 +59,8 @@
     pub applied: u64,
     /// The members.
     pub members: Members,
+    /// For a leader: the members that have a vote.
+    pub voters: Members,
     /// For a leader: when its state was surely the newest.
     pub proven: Option<Timestamp>,
     /// When a quorum (leader) or the leader (follower) was last heard.
@@ -267,6 +269,7 @@
             term: self.node.term(),
             applied: self.node.applied(),
             members,
+            voters: self.node.voters(),
             proven: ago(self.node.freshness(now)),
             heard: ago(self.node.heard(now)),
             halted: false,
--- a/crates/celerycove-gateway/src/store.rs
+++ b/crates/celerycove-gateway/src/store.rs
@@ -158,7 +158,9 @@
             target: self.setup.members(),
             silence: self.setup.bounds.catch_up / 2,
         };
-        if let Some(members) = membership::plan(&me, &status.members, &candidates, options) {
+        if let Some(members) =
+            membership::plan(&me, &status.members, &status.voters, &candidates, options)
+        {
             log::info!(target: "place", before:? = status.members, after:? = members;
                 "members of the stores' log are to change");
             group.propose(Entry::Members(members), ROUND * 2).await;
--- /dev/null
+++ b/crates/celerycove-proof/src/disk.rs
@@ -0,0 +1,65 @@
+//! Disks of replicated logs that outlive their processes, fail and are lost.
+
+use std::sync::{Arc, Mutex, PoisonError};
+
+use celerycove_control::{
+    Entry, Storage,
+    storage::{Ballot, Durable, Error, Snapshot},
+};
+
+/// What a fake disk holds; it outlives the process.
+#[derive(Debug, Default)]
+pub struct Disk {
+    /// The files of the control log.
+    pub durable: Durable,
+    /// Whether writes fail.
+    pub failing: bool,
+}
+
+/// A disk that a process and the run that owns it share.
+#[derive(Debug, Clone, Default)]
+pub struct Shared(Arc<Mutex<Disk>>);
+
+impl Shared {
+    /// Works on what the disk holds.
+    pub fn with<T>(&self, work: impl FnOnce(&mut Disk) -> T) -> T {
+        work(&mut self.0.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    fn save(&self, attempt: &'static str, work: impl FnOnce(&mut Durable)) -> Result<(), Error> {
+        self.with(|disk| {
+            if disk.failing {
+                let cause = "injected".to_owned();
+                return Err(Error { attempt, cause });
+            }
+            work(&mut disk.durable);
+            Ok(())
+        })
+    }
+}
+
+impl Storage for Shared {
+    fn load(&mut self) -> Result<Durable, Error> {
+        Ok(self.with(|disk| disk.durable.clone()))
+    }
+
+    fn save_ballot(&mut self, ballot: &Ballot) -> Result<(), Error> {
+        self.save("save", |durable| durable.ballot = Some(ballot.clone()))
+    }
+
+    fn append(&mut self, entries: &[Entry]) -> Result<(), Error> {
+        self.save("append to", |durable| {
+            for entry in entries {
+                durable.entries.retain(|known| known.index < entry.index);
+                durable.entries.push(entry.clone());
+            }
+        })
+    }
+
+    fn save_snapshot(&mut self, snapshot: &Snapshot, tail: &[Entry]) -> Result<(), Error> {
+        self.save("snapshot", |durable| {
+            durable.snapshot = Some(snapshot.clone());
+            durable.entries = tail.to_vec();
+        })
+    }
+}
--- a/crates/celerycove-proof/src/lib.rs
+++ b/crates/celerycove-proof/src/lib.rs
@@ -6,6 +6,7 @@
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
 
+pub mod disk;
 pub mod net;
 pub mod world;
 
@@ -22,10 +23,18 @@
     Limit,
     /// The sidecar's queue.
     Queue,
+    /// The stores' log: turns by name, budgets, members that change.
+    Turns,
 }
 
 /// All kinds of runs.
-pub const WORLDS: [World; 4] = [World::Control, World::Program, World::Limit, World::Queue];
+pub const WORLDS: [World; 5] = [
+    World::Control,
+    World::Program,
+    World::Limit,
+    World::Queue,
+    World::Turns,
+];
 
 /// A broken invariant and where it was seen.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
@@ -56,6 +65,7 @@
             Self::Program => world::program::run(seed, steps, &mut step),
             Self::Limit => world::limit::run(seed, steps, &mut step),
             Self::Queue => world::queue::run(seed, steps, &mut step),
+            Self::Turns => world::turns::run(seed, steps, &mut step),
         };
         result.map_err(|violation| Failure {
             world: self,
--- a/crates/celerycove-proof/src/main.rs
+++ b/crates/celerycove-proof/src/main.rs
@@ -22,7 +22,7 @@
     flags.optopt(
         "",
         "world",
-        "only this kind: control, program, limit or queue",
+        "only this kind: control, program, limit, queue or turns",
         "NAME",
     );
     flags.optflag("", "trace", "print what happens, for a single seed");
--- a/crates/celerycove-proof/src/world.rs
+++ b/crates/celerycove-proof/src/world.rs
@@ -4,3 +4,4 @@
 pub mod limit;
 pub mod program;
 pub mod queue;
+pub mod turns;
--- a/crates/celerycove-proof/src/world/control.rs
+++ b/crates/celerycove-proof/src/world/control.rs
@@ -1,23 +1,21 @@
 //! The control log under operators who race and resend, and followers who must not act on an old
 //! configuration.
 
-use std::{
-    collections::BTreeMap,
-    sync::{Arc, Mutex, PoisonError},
-    time::Duration,
-};
+use std::{collections::BTreeMap, time::Duration};
 
 use celerycove_config::{Change, Organisation, Outcome, Proposal};
 use celerycove_control::{
-    Action, Answer, Command, Entry, Event, Message, Node, Options, Placement, Storage,
+    Action, Answer, Command, Entry, Event, Message, Node, Options, Placement,
     log::{Index, Members, Term},
     node::Proposed,
-    storage::{Ballot, Durable, Error, Snapshot},
 };
 use celerycove_sync::{Announcement, Directory, Follower, Life, Pull, Reply, follower::answer};
 use celerycove_types::{Timestamp, Violation, id};
 
-use crate::net::{DRIFT, Net, Place};
+use crate::{
+    disk::{Disk, Shared},
+    net::{DRIFT, Net, Place},
+};
 
 const NODES: usize = 3;
 const FOLLOWERS: usize = 3;
@@ -38,59 +36,6 @@
     Restart,
 }
 
-/// What a fake disk holds; it outlives the process.
-#[derive(Debug, Default)]
-struct Disk {
-    durable: Durable,
-    failing: bool,
-}
-
-#[derive(Debug, Clone, Default)]
-struct Shared(Arc<Mutex<Disk>>);
-
-impl Shared {
-    fn with<T>(&self, work: impl FnOnce(&mut Disk) -> T) -> T {
-        work(&mut self.0.lock().unwrap_or_else(PoisonError::into_inner))
-    }
-
-    fn save(&self, attempt: &'static str, work: impl FnOnce(&mut Durable)) -> Result<(), Error> {
-        self.with(|disk| {
-            if disk.failing {
-                let cause = "injected".to_owned();
-                return Err(Error { attempt, cause });
-            }
-            work(&mut disk.durable);
-            Ok(())
-        })
-    }
-}
-
-impl Storage for Shared {
-    fn load(&mut self) -> Result<Durable, Error> {
-        Ok(self.with(|disk| disk.durable.clone()))
-    }
-
-    fn save_ballot(&mut self, ballot: &Ballot) -> Result<(), Error> {
-        self.save("save", |durable| durable.ballot = Some(ballot.clone()))
-    }
-
-    fn append(&mut self, entries: &[Entry]) -> Result<(), Error> {
-        self.save("append to", |durable| {
-            for entry in entries {
-                durable.entries.retain(|known| known.index < entry.index);
-                durable.entries.push(entry.clone());
-            }
-        })
-    }
-
-    fn save_snapshot(&mut self, snapshot: &Snapshot, tail: &[Entry]) -> Result<(), Error> {
-        self.save("snapshot", |durable| {
-            durable.snapshot = Some(snapshot.clone());
-            durable.entries = tail.to_vec();
-        })
-    }
-}
-
 struct World {
     net: Net<Input>,
     disks: Vec<Shared>,
--- a/crates/celerycove-proof/tests/proof.rs
+++ b/crates/celerycove-proof/tests/proof.rs
@@ -8,12 +8,19 @@
 const RUNS: usize = 25;
 const STEPS: usize = 2000;
 
+/// The stores' log needs more steps until disks are lost and members change.
+const LONG: usize = 20_000;
+
 fn run(world: World) {
+    run_steps(world, STEPS);
+}
+
+fn run_steps(world: World, steps: usize) {
     let mut generator = Gen::from_size_and_seed(SIZE, SEED);
     let mut events = 0;
     for _ in 0..RUNS {
         let seed = u64::arbitrary(&mut generator);
-        match world.run(seed, STEPS) {
+        match world.run(seed, steps) {
             Ok(more) => events += more,
             Err(failure) => panic!("{failure}"),
         }
@@ -41,6 +48,11 @@
     run(World::Queue);
 }
 
+#[test]
+fn turns_are_kept_and_budgets_hold_while_members_change() {
+    run_steps(World::Turns, LONG);
+}
+
 #[test]
 fn one_seed_gives_one_run() {
     for world in WORLDS {
