--- a/crates/celerycove-proof/src/world/turns.rs
+++ b/crates/celerycove-proof/src/world/turns.rs
@@ -344,7 +344,7 @@
 
     fn told(&mut self, at: Place, command: Command, outcome: Outcome) -> Result<(), Violation> {
         match (command, outcome) {
-            (Command::Begin(begin), Outcome::Begun(chain)) => self.run_turn(at, &begin, chain),
+            (Command::Begin(begin), Outcome::Begun(chain)) => self.run_turn(at, &begin, &chain),
             (Command::Begin(begin), Outcome::NoTurn) => {
                 Violation::unless(false, "kept-stays", || {
                     format!("{} does not find {:?}", begin.request, begin.previous)
@@ -367,7 +367,7 @@
     }
 
     /// Runs the engine: tokens are handed to the caller, then the end is told.
-    fn run_turn(&mut self, at: Place, begin: &Begin, chain: Vec<Bytes>) -> Result<(), Violation> {
+    fn run_turn(&mut self, at: Place, begin: &Begin, chain: &[Bytes]) -> Result<(), Violation> {
         let program = Self::program_of(&begin.request);
         let expected = begin.previous.as_ref().and_then(|previous| {
             let kept = self.programs[program].kept.iter();
