--- a/crates/celerycove-control/src/core.rs
+++ b/crates/celerycove-control/src/core.rs
@@ -34,6 +34,14 @@
     pub(crate) valid_from: Round,
 }
 
+impl Progress {
+    /// Notes an answer: its round, and whether the follower has a vote.
+    pub(crate) fn note(&mut self, round: Round, voter: bool) {
+        self.round = self.round.max(round);
+        self.voter = voter;
+    }
+}
+
 pub(crate) struct Core {
     pub(crate) me: id::Process,
     pub(crate) options: Options,
--- a/crates/celerycove-control/src/replicate.rs
+++ b/crates/celerycove-control/src/replicate.rs
@@ -189,14 +189,11 @@
         (round, voter): (Round, bool),
     ) {
         let next_index = self.log.last_index() + 1;
-        let Some(progress) = self.progress.get_mut(from) else {
+        let progress = self.progress.get_mut(from);
+        let Some(progress) = progress.filter(|peer| round >= peer.valid_from) else {
             return;
         };
-        if round < progress.valid_from {
-            return;
-        }
-        progress.round = progress.round.max(round);
-        progress.voter = voter;
+        progress.note(round, voter);
         match matched {
             Some(matched) => {
                 progress.matched = progress.matched.max(matched);
--- a/crates/celerycove-control/src/transfer.rs
+++ b/crates/celerycove-control/src/transfer.rs
@@ -113,14 +113,11 @@
         held: usize,
         (round, voter): (Round, bool),
     ) {
-        let Some(progress) = self.progress.get_mut(from) else {
+        let progress = self.progress.get_mut(from);
+        let Some(progress) = progress.filter(|peer| round >= peer.valid_from) else {
             return;
         };
-        if round < progress.valid_from {
-            return;
-        }
-        progress.round = progress.round.max(round);
-        progress.voter = voter;
+        progress.note(round, voter);
         if let Some(position) = &mut progress.installing
             && position.index == index
             && position.offset != held
