perf(gateway): admit entries in one batch and send the state in steps

Cause: the leader admitted entries one by one; each admission was a commit whose whole state (22 KB) every control instance sent to every process, encoded once per receiver: 250 ms a commit on a link of 100 Mbit/s. The stores' log was bootstrapped only after all of them, 21 s after the start. Ruled out: the commit itself (the first receiver had the state after 140 ms of round, sync and encoding). Change: all due commands of a round are proposed together; the state is published as a step between two log indexes, and requested whole from one instance by a process that has none or that no step leads on; a frame is encoded once for all receivers; an entry rebuilds its index only if the configuration changed.

--- a/crates/celerycove-fleet/src/lib.rs
+++ b/crates/celerycove-fleet/src/lib.rs
@@ -8,11 +8,13 @@
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
 
+pub mod change;
 pub mod config;
 pub mod index;
 pub mod registry;
 pub mod state;
 
+pub use change::Change;
 pub use config::Config;
 pub use index::Index;
 pub use registry::Registry;
--- a/crates/celerycove-gateway/src/broadcast.rs
+++ b/crates/celerycove-gateway/src/broadcast.rs
@@ -4,6 +4,11 @@
 //! instance pushes changes as soon as it receives them, and a digest periodically. Each receiver
 //! keeps a [`FleetState`] of its own. An update may arrive by several control instances and in any
 //! order; the newest version wins.
+//!
+//! The committed state is pushed as steps from one index to another. A receiver that has no state,
+//! or that no step leads on from, requests the whole state from one control instance.
+
+mod lag;
 
 use std::{
     collections::BTreeMap,
@@ -22,10 +27,13 @@
 use celerycove_types::{Timestamp, id};
 use tokio::sync::Notify;
 
+use self::lag::Lag;
 use crate::{
     clock,
-    link::{Sender, lock},
-    message::{Frame, Peer, PeerStatus, RelayedHeartbeat, SequenceNumber, Update, View},
+    link::{self, Sender, lock},
+    message::{
+        Frame, Peer, PeerStatus, RelayedHeartbeat, SequenceNumber, Update, View, ViewUpdate,
+    },
     setup::Role,
 };
 
@@ -46,6 +54,7 @@
     registry: Mutex<Registry>,
     peers: Mutex<BTreeMap<id::Process, KnownPeer>>,
     leader: Mutex<Option<id::Process>>,
+    lag: Mutex<Lag>,
 }
 
 /// What an update changed in a [`FleetState`].
@@ -53,6 +62,8 @@
 pub struct Changes {
     /// Whether the committed state was replaced by a newer one.
     pub view: bool,
+    /// Whether to request the whole state from the sender.
+    pub request_view: bool,
     /// Heartbeats that must be passed on to other processes.
     pub beats: Vec<RelayedHeartbeat>,
 }
@@ -64,8 +75,9 @@
         let now = clock::now();
         let mut changes = Changes::default();
         if let Some(view) = update.view {
-            changes.view = self.replace_if_newer(view, update.has_quorum);
+            changes.view = self.merge_view(view, update.has_quorum);
         }
+        changes.request_view = self.observe_index(now, update.index, update.has_quorum);
         for relayed in update.heartbeats {
             let change = self.merge_heartbeat(now, &relayed);
             if change == Change::Update {
@@ -81,6 +93,35 @@
         changes
     }
 
+    /// Replaces the state if the update leads from the known one to a newer one.
+    fn merge_view(&self, update: ViewUpdate, has_quorum: bool) -> bool {
+        match update {
+            ViewUpdate::Whole(view) => self.replace_if_newer(view, has_quorum),
+            ViewUpdate::Step {
+                base,
+                index,
+                change,
+            } => {
+                let known = self.view.load();
+                let known = known.as_ref().filter(|known| known.index == base);
+                known.is_some_and(|known| {
+                    let fleet = change.apply(&known.fleet).into();
+                    self.replace_if_newer(View { index, fleet }, has_quorum)
+                })
+            }
+        }
+    }
+
+    /// Returns whether to request the whole state from a control instance whose state has the given
+    /// index.
+    fn observe_index(&self, now: Timestamp, index: u64, has_quorum: bool) -> bool {
+        let known = self.view.load().as_ref().map(|known| known.index);
+        // A process without a state accepts its first one only from an instance in contact with a
+        // majority.
+        let is_usable = known.is_some() || has_quorum;
+        is_usable && lock(&self.lag).observe(now, known, index)
+    }
+
     fn replace_if_newer(&self, view: View, has_quorum: bool) -> bool {
         let before = self.view.load();
         let newer = match before.as_ref() {
@@ -243,9 +284,12 @@
 
     /// Sends a frame to the subscribers selected by `filter`.
     pub fn send_to(&self, frame: &Frame, filter: impl Fn(&Peer) -> bool) {
+        let Some(encoded) = link::encode(frame) else {
+            return;
+        };
         for subscriber in lock(&self.subscribers).iter() {
             if filter(&subscriber.peer) {
-                subscriber.sender.send(frame);
+                subscriber.sender.send_encoded(encoded.clone());
             }
         }
     }
--- a/crates/celerycove-gateway/src/control.rs
+++ b/crates/celerycove-gateway/src/control.rs
@@ -18,7 +18,7 @@
 use arc_swap::ArcSwap;
 use celerycove_control::{Answer, State, log::Command as LogCommand};
 use celerycove_disk::Store;
-use celerycove_fleet::{Command, Config, Fleet};
+use celerycove_fleet::{Change, Command, Config, Fleet};
 use celerycove_limit::{Lease, Ownership, Request as LeaseRequest, fallback::reduced_entitlement};
 use celerycove_route::direct::Report;
 use celerycove_types::{Timestamp, id};
@@ -31,7 +31,9 @@
     entry::rate_limit,
     http,
     link::{self, Connections, Handler, Sender, lock},
-    message::{Frame, Peer, RelayedHeartbeat, Reply, RpcRequest, SequenceNumber, Update, View},
+    message::{
+        Frame, Peer, RelayedHeartbeat, Reply, RpcRequest, SequenceNumber, Update, View, ViewUpdate,
+    },
     replica::{Replica, options},
     setup::Role,
 };
@@ -173,9 +175,14 @@
             return;
         }
         let fleet = Arc::new(state.fleet.clone());
+        let change = Change::between(&before.1, &fleet);
         self.applied.store(Arc::new((index, fleet)));
         let mut update = self.empty_update();
-        update.view = self.view();
+        update.view = Some(ViewUpdate::Step {
+            base: before.0,
+            index,
+            change: Arc::new(change),
+        });
         self.broadcaster.publish(update);
     }
 
@@ -237,6 +244,7 @@
     fn empty_update(&self) -> Update {
         Update {
             sequence: 0,
+            index: self.applied.load().0,
             view: None,
             heartbeats: Vec::new(),
             peers: None,
@@ -245,11 +253,11 @@
         }
     }
 
-    /// An update that holds everything a newly connected process needs.
+    /// An update that holds what a newly connected process needs. It requests the committed state
+    /// itself, from one of the control instances that it connects to.
     fn full_update(&self) -> Update {
         let now = clock::now();
         let mut update = self.empty_update();
-        update.view = self.view();
         update.peers = Some(self.known_peers());
         let registry = self.fleet_state.registry();
         update.heartbeats = registry
@@ -447,6 +455,9 @@
             Frame::Request(number, request) => self.spawn_reply(number, request, sender),
             Frame::Update(update) => {
                 let changes = self.fleet_state.merge(*update);
+                if changes.request_view {
+                    sender.send(&Frame::RequestView);
+                }
                 if !changes.beats.is_empty() {
                     let mut update = self.empty_update();
                     update.heartbeats = changes.beats;
@@ -457,6 +468,11 @@
                 self.connect(&controls);
             }
             Frame::Acknowledge(number) => self.broadcaster.acknowledge(peer, number),
+            Frame::RequestView => {
+                let mut update = self.empty_update();
+                update.view = self.view().map(ViewUpdate::Whole);
+                self.broadcaster.send_update(sender, update);
+            }
             Frame::Evidence(reports) => self.forward_reports(peer, reports),
             Frame::InitialMembers(members) => self.bootstrap_log(&members),
             Frame::Hello(_) | Frame::Ping | Frame::Reply(..) => {}
--- a/crates/celerycove-gateway/src/control/maintenance.rs
+++ b/crates/celerycove-gateway/src/control/maintenance.rs
@@ -9,8 +9,9 @@
     log::Command as LogCommand,
     membership::{self, Candidate},
 };
-use celerycove_fleet::Command;
+use celerycove_fleet::{Command, Fleet};
 use celerycove_types::{Timestamp, id};
+use futures_util::future::join_all;
 
 use super::{Control, DIGEST_INTERVAL};
 use crate::{
@@ -69,17 +70,14 @@
         }
     }
 
-    /// Publishes the state again when this instance gains contact with a majority. It may have been
-    /// published before that, and processes without a state accept their first one only from an
-    /// instance with such contact.
+    /// Publishes the index of the state when this instance gains contact with a majority, since
+    /// processes without a state accept their first one only from an instance with such contact.
     fn publish_on_quorum_change(&self) {
         let has_quorum = self.has_quorum();
         let previously = std::mem::replace(&mut lock(&self.maintenance).had_quorum, has_quorum);
         if has_quorum && !previously {
             log::info!(target: "spread", leader:? = self.leader(); "gained contact with a majority");
-            let mut update = self.empty_update();
-            update.view = self.view();
-            self.broadcaster.publish(update);
+            self.broadcaster.publish(self.empty_update());
         } else if previously && !has_quorum {
             log::warn!(target: "spread", leader:? = self.leader(); "lost contact with a majority");
         }
@@ -143,43 +141,33 @@
             }
         };
         self.start_leasing(term);
-        self.update_entries().await;
-        self.bootstrap_stores(now).await;
+        self.commit_due_commands(now).await;
         if now >= since + MEMBERSHIP_DELAY {
             self.change_members().await;
         }
     }
 
-    /// Adds entries that have connected to the committed state, and removes those that are gone.
-    async fn update_entries(&self) {
-        let committed = self.fleet().entries.clone();
-        let known = self.fleet_state.peers(Role::Entry);
-        for entry in &known {
-            let peer = &entry.peer;
-            if entry.silent < ROUND_INTERVAL * 4
-                && committed.get(&peer.process) != Some(&peer.data_centre)
-            {
-                let command = Command::Admit {
-                    entry: peer.process.clone(),
-                    data_centre: peer.data_centre.clone(),
-                };
-                self.commit_and_log("entry admitted", &peer.process, command)
-                    .await;
-            }
-        }
-        for entry in committed.keys() {
-            let status = known.iter().find(|status| status.peer.process == *entry);
-            if status.is_some_and(|status| status.silent >= ENTRY_EXPIRY) {
-                let command = Command::Dismiss(entry.clone());
-                self.commit_and_log("entry removed", entry, command).await;
-            }
-        }
+    /// Commits all commands that are due in one batch, so that the time until the last entry is
+    /// admitted does not grow with the number of entries.
+    async fn commit_due_commands(&self, now: Timestamp) {
+        let fleet = self.fleet();
+        let entries = self.fleet_state.peers(Role::Entry);
+        let mut commands = entry_commands(&fleet.entries, &entries);
+        commands.extend(self.initial_stores(now, &fleet).map(Command::FoundStores));
+        join_all(commands.into_iter().map(|command| async {
+            let event = format!("{command:?}");
+            let committed = self.commit_locally(command).await == Reply::Committed;
+            log::info!(target: "place", command = event.as_str(), committed;
+                "membership of the fleet changed");
+        }))
+        .await;
     }
 
-    /// Chooses the initial members of the stores' log when the system starts for the first time.
-    async fn bootstrap_stores(&self, now: Timestamp) {
-        if !self.fleet().founders.is_empty() {
-            return;
+    /// Returns the initial members of the stores' log when the system starts for the first time,
+    /// once the stores have had time to connect.
+    fn initial_stores(&self, now: Timestamp, fleet: &Fleet) -> Option<BTreeSet<id::Process>> {
+        if !fleet.founders.is_empty() {
+            return None;
         }
         let stores = self.fleet_state.peers(Role::Store);
         let candidates: Vec<&PeerStatus> = stores
@@ -187,30 +175,19 @@
             .filter(|status| status.peer.may_bootstrap && status.silent < ROUND_INTERVAL * 4)
             .collect();
         if candidates.is_empty() {
-            return;
+            return None;
         }
         let began = *lock(&self.maintenance)
             .stores_known_since
             .get_or_insert(now);
         if now < began + BOOTSTRAP_WAIT {
-            return;
+            return None;
         }
         let candidates = candidates
             .iter()
             .map(|status| (status.peer.process.clone(), status.peer.data_centre.clone()));
-        let members =
-            membership::initial_members(&candidates.collect(), self.setup.target_members());
-        let command = Command::FoundStores(members);
-        let me = self.setup.process();
-        self.commit_and_log("initial members of the stores' log chosen", &me, command)
-            .await;
-    }
-
-    /// Commits a command and logs `event` with the outcome.
-    async fn commit_and_log(&self, event: &'static str, subject: &id::Process, command: Command) {
-        let reply = self.commit_locally(command).await;
-        let committed = reply == Reply::Committed;
-        log::info!(target: "place", subject:% = subject, committed; "{event}");
+        let members = self.setup.target_members();
+        Some(membership::initial_members(&candidates.collect(), members))
     }
 
     /// Proposes a change of the control log's members if one is due, for example after an instance
@@ -239,6 +216,27 @@
     }
 }
 
+/// Returns the commands that admit entries which have connected, or now run in another data centre,
+/// and that remove those which are gone.
+fn entry_commands(
+    committed: &BTreeMap<id::Process, id::DataCentre>,
+    known: &[PeerStatus],
+) -> Vec<Command> {
+    let connected = known.iter().filter(|entry| {
+        entry.silent < ROUND_INTERVAL * 4
+            && committed.get(&entry.peer.process) != Some(&entry.peer.data_centre)
+    });
+    let admitted = connected.map(|entry| Command::Admit {
+        entry: entry.peer.process.clone(),
+        data_centre: entry.peer.data_centre.clone(),
+    });
+    let gone = known.iter().filter(|entry| {
+        entry.silent >= ENTRY_EXPIRY && committed.contains_key(&entry.peer.process)
+    });
+    let removed = gone.map(|entry| Command::Dismiss(entry.peer.process.clone()));
+    admitted.chain(removed).collect()
+}
+
 /// Returns the processes that can be members of a replicated log: those with a disk.
 pub(crate) fn member_candidates(
     peers: Vec<PeerStatus>,
@@ -257,3 +255,7 @@
         })
         .collect()
 }
+
+#[cfg(test)]
+#[path = "maintenance_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/celerycove-gateway/src/control/maintenance_tests.rs
@@ -0,0 +1,44 @@
+//! Which entries a leader admits and removes.
+
+use std::time::Duration;
+
+use super::*;
+use crate::message::Peer;
+
+fn entry(number: usize, silent: Duration) -> PeerStatus {
+    PeerStatus {
+        peer: Peer {
+            process: format!("10.0.0.{number}:7780").as_str().into(),
+            role: Role::Entry,
+            instance: format!("entry-{number}").into(),
+            data_centre: "a".into(),
+            has_disk: false,
+            may_bootstrap: false,
+        },
+        silent,
+    }
+}
+
+#[test]
+fn all_entries_that_connect_at_the_first_start_are_admitted_in_one_round() {
+    let known: Vec<_> = (0..92).map(|n| entry(n, Duration::ZERO)).collect();
+    let mut fleet = Fleet::default();
+    for command in entry_commands(&fleet.entries, &known) {
+        fleet.apply(&command);
+    }
+    assert_eq!(fleet.entries.len(), 92);
+    assert!(entry_commands(&fleet.entries, &known).is_empty());
+}
+
+#[test]
+fn only_an_entry_that_was_silent_for_long_is_removed() {
+    let silences = [Duration::ZERO, ENTRY_EXPIRY / 2, ENTRY_EXPIRY];
+    let known: Vec<_> = (0..)
+        .zip(silences)
+        .map(|(n, silent)| entry(n, silent))
+        .collect();
+    let committed = known.iter().map(|status| &status.peer);
+    let committed = committed.map(|peer| (peer.process.clone(), peer.data_centre.clone()));
+    let commands = entry_commands(&committed.collect(), &known);
+    assert_eq!(commands, [Command::Dismiss(known[2].peer.process.clone())]);
+}
--- a/crates/celerycove-gateway/src/entry.rs
+++ b/crates/celerycove-gateway/src/entry.rs
@@ -176,17 +176,24 @@
         }
     }
 
-    fn apply_update(&self, update: Update) {
+    /// Applies an update and returns whether to request the whole state from its sender.
+    fn apply_update(&self, update: Update) -> bool {
         let has_heartbeats = !update.heartbeats.is_empty();
         let has_peers = update.peers.is_some();
         let changes = self.fleet_state.merge(update);
         if changes.view
             && let Some(view) = self.fleet_state.view()
         {
-            let index = Index::new(view.fleet.config.clone());
+            let config = &view.fleet.config;
             self.rate_limiter
-                .configure(&view.fleet.config, view.fleet.entries.len());
-            self.index.store(Some(Arc::new(index)));
+                .configure(config, view.fleet.entries.len());
+            let indexed = self.index.load();
+            if !indexed
+                .as_ref()
+                .is_some_and(|index| Arc::ptr_eq(index.config(), config))
+            {
+                self.index.store(Some(Arc::new(Index::new(config.clone()))));
+            }
         }
         if changes.view || has_heartbeats {
             self.update_servers();
@@ -198,6 +205,7 @@
             let stores = stores.map(|status| status.peer.process).collect();
             self.turns.set_stores(stores);
         }
+        changes.request_view
     }
 
     /// Updates the backend servers of each service from the registry and the configuration.
@@ -293,7 +301,9 @@
         match frame {
             Frame::Update(update) => {
                 let number = update.sequence;
-                self.apply_update(*update);
+                if self.apply_update(*update) {
+                    sender.send(&Frame::RequestView);
+                }
                 sender.send(&Frame::Acknowledge(number));
             }
             Frame::Evidence(reports) => {
--- a/crates/celerycove-gateway/src/link.rs
+++ b/crates/celerycove-gateway/src/link.rs
@@ -70,7 +70,14 @@
     /// Sends a frame, or drops it if the queue is full or the connection is closed: the protocol
     /// repeats or retries what a dropped frame carried.
     pub fn send(&self, frame: &Frame) {
-        if !self.try_send(frame) {
+        if let Some(encoded) = encode(frame) {
+            self.send_encoded(encoded);
+        }
+    }
+
+    /// Sends an encoded frame like [`send`](Self::send).
+    pub fn send_encoded(&self, frame: Bytes) {
+        if self.queue.try_send(frame).is_err() {
             log::debug!(target: "link", connection = self.connection;
                 "dropped a frame: the send queue is full or closed");
         }
@@ -78,13 +85,7 @@
 
     /// Queues a frame for writing and returns whether it was queued.
     fn try_send(&self, frame: &Frame) -> bool {
-        match rmp_serde::to_vec(frame) {
-            Ok(bytes) => self.queue.try_send(bytes.into()).is_ok(),
-            Err(error) => {
-                log::error!(target: "link", error:% = error; "could not encode a frame");
-                false
-            }
-        }
+        encode(frame).is_some_and(|bytes| self.queue.try_send(bytes).is_ok())
     }
 
     /// Whether the connection is closed.
@@ -94,6 +95,18 @@
     }
 }
 
+/// Encodes a frame, to be sent to any number of peers.
+#[must_use]
+pub fn encode(frame: &Frame) -> Option<Bytes> {
+    match rmp_serde::to_vec(frame) {
+        Ok(bytes) => Some(bytes.into()),
+        Err(error) => {
+            log::error!(target: "link", error:% = error; "could not encode a frame");
+            None
+        }
+    }
+}
+
 /// No reply arrived in time, or the connection failed before; the request may have been carried
 /// out.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
--- a/crates/celerycove-gateway/src/message.rs
+++ b/crates/celerycove-gateway/src/message.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use celerycove_control::Message;
-use celerycove_fleet::{Fleet, registry::Heartbeat};
+use celerycove_fleet::{Change, Fleet, registry::Heartbeat};
 use celerycove_limit::Lease;
 use celerycove_route::direct::Report;
 use celerycove_types::id;
@@ -59,6 +59,9 @@
     /// Acknowledges that the update of this number is in force at the sender.
     #[serde(rename = "Heard")]
     Acknowledge(SequenceNumber),
+    /// Asks a control instance for the whole committed state: the sender holds none, or one that
+    /// the last step doesn't start from.
+    RequestView,
 }
 
 /// A request from one process to another.
@@ -122,14 +125,32 @@
     pub fleet: Arc<Fleet>,
 }
 
+/// The committed state in an update.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum ViewUpdate {
+    /// The whole state, sent only when requested.
+    Whole(View),
+    /// What changed, for receivers that hold a state from `base` on.
+    Step {
+        /// The index of the sender's state before the change.
+        base: u64,
+        /// The index of its state after the change.
+        index: u64,
+        /// The change.
+        change: Arc<Change>,
+    },
+}
+
 /// What a control instance sends to other processes on each change and periodically.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Update {
     /// Numbers the updates of one sender.
     #[serde(rename = "number")]
     pub sequence: SequenceNumber,
-    /// The committed state, if it changed.
-    pub view: Option<View>,
+    /// The index of the newest state that the sender has applied.
+    pub index: u64,
+    /// The committed state, if it changed or was requested.
+    pub view: Option<ViewUpdate>,
     /// Heartbeats of backend servers.
     #[serde(rename = "beats")]
     pub heartbeats: Vec<RelayedHeartbeat>,
--- a/crates/celerycove-gateway/src/store.rs
+++ b/crates/celerycove-gateway/src/store.rs
@@ -251,13 +251,17 @@
             Frame::Request(number, request) => self.spawn_reply(number, request, sender),
             Frame::Update(update) => {
                 let number = update.sequence;
-                self.fleet_state.merge(*update);
+                let changes = self.fleet_state.merge(*update);
+                if changes.request_view {
+                    sender.send(&Frame::RequestView);
+                }
                 sender.send(&Frame::Acknowledge(number));
                 for control in self.fleet_state.peers(Role::Control) {
                     self.connections.open(&control.peer.process);
                 }
             }
             Frame::InitialMembers(_)
+            | Frame::RequestView
             | Frame::Evidence(_)
             | Frame::Acknowledge(_)
             | Frame::Hello(_)
