--- a/crates/celerycove-control/src/raft.rs
+++ b/crates/celerycove-control/src/raft.rs
@@ -289,7 +289,8 @@
         self.snapshot_members = members;
     }
 
-    fn members_at(&self, index: Index) -> Members {
+    /// Returns the members as of an entry that is not older than the snapshot.
+    pub(crate) fn members_at(&self, index: Index) -> Members {
         let until = self.log.iter().take_while(|entry| entry.index <= index);
         latest_members(until).unwrap_or_else(|| self.snapshot_members.clone())
     }
--- a/crates/celerycove-control/src/replicate.rs
+++ b/crates/celerycove-control/src/replicate.rs
@@ -81,6 +81,19 @@
             && !members.is_empty()
     }
 
+    /// Returns to the committed members if this leader has removed one and the removal is not
+    /// committed, so that the removed member can vote in the next election.
+    ///
+    /// Majorities of the members with and without the removed one overlap, so a log that ends with
+    /// the removal can't win against this one unnoticed.
+    pub(crate) fn revoke_pending_removal(&mut self) {
+        let committed = self.members_at(self.commit_index);
+        let is_own_change = self.commit_index >= self.own_term_start;
+        if is_own_change && self.members.len() < committed.len() {
+            self.append_commands(vec![Command::Members(committed)]);
+        }
+    }
+
     fn append_commands(&mut self, commands: Vec<Command>) {
         let first = self.log.last_index() + 1;
         let term = self.ballot.term;
@@ -386,9 +399,10 @@
     /// Lets an instance that started with an empty disk vote again.
     ///
     /// It must hold everything that the leader knows to be committed, and a quorum of voters must
-    /// have acknowledged a round that is not older than the first one received from this leader.
+    /// have acknowledged a round that is newer than the first one received from this leader.
     /// The second condition excludes a deposed leader: before the disk was lost, this instance may
     /// have voted for its successor, and then no quorum acknowledges the old leader's later rounds.
+    /// It may have acknowledged the first round itself before the disk was lost.
     /// The vote of the current term is set to the leader, so that the instance can't vote for
     /// another candidate in this term.
     fn try_become_voter(&mut self, leader_commit: Index, confirmed: Round) {
@@ -398,7 +412,7 @@
         let first_round = self
             .first_leader_round
             .filter(|(term, _)| *term == self.ballot.term);
-        if first_round.is_none_or(|(_, first_round)| confirmed < first_round) {
+        if first_round.is_none_or(|(_, first_round)| confirmed <= first_round) {
             return;
         }
         let ballot = Ballot {
--- a/crates/celerycove-control/src/role.rs
+++ b/crates/celerycove-control/src/role.rs
@@ -84,6 +84,7 @@
     fn leader(&mut self, event: &Input) -> Outcome<State> {
         match event {
             Input::Tick if self.has_quorum_timed_out() || self.is_removed() => {
+                self.revoke_pending_removal();
                 self.leader = None;
                 Transition(State::follower())
             }
--- a/crates/celerycove-control/src/transfer.rs
+++ b/crates/celerycove-control/src/transfer.rs
@@ -89,7 +89,7 @@
         let snapshot = Snapshot {
             index: self.applied_index,
             term: self.log.term_at(self.applied_index).unwrap_or_default(),
-            members: self.members.clone(),
+            members: self.members_at(self.applied_index),
             state: self.state.clone(),
         };
         match rmp_serde::to_vec_named(&snapshot) {
--- a/crates/celerycove-control/tests/replication.rs
+++ b/crates/celerycove-control/tests/replication.rs
@@ -227,6 +227,30 @@
     );
 }
 
+/// A member is removed because it was silent, and in the same moment another one loses its disk. The
+/// two members that remain can't commit the removal, since one of them may not vote.
+#[test]
+fn a_log_recovers_if_a_disk_is_lost_while_a_member_is_removed() {
+    let mut cluster = Cluster::new();
+    cluster.run(50, usize::MAX);
+    let leader = cluster.leader();
+    let (silent, wiped) = ((leader + 1) % 3, (leader + 2) % 3);
+    let silent_node = cluster.nodes[silent].take();
+    cluster.nodes[wiped] = Some(open_node(wiped, false, cluster.now));
+    cluster.queue.clear();
+    let remaining = [leader, wiped].map(|index| id::Process::from(NAMES[index]));
+    let command = Command::Members(remaining.into_iter().collect());
+    cluster.step(leader, Event::Propose(vec![Proposed { token: 1, command }]));
+    cluster.run(25, usize::MAX);
+    cluster.nodes[silent] = silent_node;
+    cluster.run(100, usize::MAX);
+    cluster.propose(1);
+    cluster.run(25, usize::MAX);
+    assert_eq!(cluster.last_fence(wiped), Some(1));
+    let members = cluster.nodes[wiped].as_ref().expect("a node").members();
+    assert_eq!(members.len(), 3, "the removal was never committed");
+}
+
 #[test]
 fn a_rejection_resends_the_log_once_despite_pipelined_messages() {
     let mut cluster = Cluster::new();
--- a/crates/celerycove-proof/tests/proof.rs
+++ b/crates/celerycove-proof/tests/proof.rs
@@ -55,6 +55,16 @@
     run_steps(World::Turns, TURNS_STEPS);
 }
 
+/// A member is removed, or another is added, while a third one loses its disk.
+#[test]
+fn the_stores_log_recovers_if_a_disk_is_lost_during_a_change_of_members() {
+    for seed in [602, 3_970] {
+        if let Err(failure) = World::Turns.run(seed, TURNS_STEPS) {
+            panic!("{failure}");
+        }
+    }
+}
+
 #[test]
 fn the_same_seed_gives_the_same_run() {
     for world in WORLDS {
