test(gateway): claim the ports of a deployment before they are used

Change: the first port of a block stays bound for as long as the block is used, so that two processes never use the same one. The time-out itself wasn't reproduced.

--- a/crates/celerycove-gateway/tests/callers/fleet.rs
+++ b/crates/celerycove-gateway/tests/callers/fleet.rs
@@ -29,6 +29,8 @@
 static DEPLOYMENT_LOCK: Mutex<()> = Mutex::new(());
 /// Candidate ports, below those that the operating system assigns to outgoing connections.
 const PORTS: std::ops::Range<u16> = 21_000..29_000;
+/// The port that claims a block, and those of the deployment.
+const BLOCK_PORTS: u16 = 10;
 const CONFIG: &str = "version=2\nroute=plain /plain/ app\nroute=once /once/ app\n\
     route=kept /kept/ app\nroute=resumable /resumable/ app\n";
 
@@ -69,16 +71,23 @@
 /// The data directories and ports of a deployment; dropping it removes the directories.
 struct Disks {
     first_port: u16,
+    /// Bound while the ports are in use, so that no other test process takes them between their
+    /// being found free and bound.
+    _claim: TcpListener,
     path: PathBuf,
 }
 
 impl Disks {
     fn new() -> Self {
-        let first_port = find_free_ports(6);
+        let (claim, first_port) = claim_ports();
         let path = std::env::temp_dir().join(format!("celerycove-callers-{first_port}"));
         // An interrupted run may have left the directory.
         let _ = std::fs::remove_dir_all(&path);
-        Self { first_port, path }
+        Self {
+            first_port,
+            _claim: claim,
+            path,
+        }
     }
 }
 
@@ -122,14 +131,19 @@
     }
 }
 
-/// Returns the first of `count` consecutive free ports. The search starts at a port that depends on
-/// the process, so that parallel test processes are unlikely to choose the same ports.
-fn find_free_ports(count: u16) -> u16 {
-    let is_free = |port: u16| TcpListener::bind(("127.0.0.1", port)).is_ok();
-    let start = u16::try_from(std::process::id() % 700).expect("small") * 10;
-    PORTS
-        .map(|port| PORTS.start + (port - PORTS.start + start) % (PORTS.end - PORTS.start - count))
-        .find(|port| (*port..port + count).all(is_free))
+/// Claims a block of free ports by binding its first one, and returns the second. The search starts
+/// at a block that depends on the process.
+fn claim_ports() -> (TcpListener, u16) {
+    let bind = |port: u16| TcpListener::bind(("127.0.0.1", port)).ok();
+    let blocks = (PORTS.end - PORTS.start) / BLOCK_PORTS;
+    let start = u16::try_from(std::process::id() % u32::from(blocks)).expect("small");
+    (0..blocks)
+        .map(|offset| PORTS.start + (start + offset) % blocks * BLOCK_PORTS)
+        .find_map(|first| {
+            let claim = bind(first)?;
+            let is_free = (first + 1..first + BLOCK_PORTS).all(|port| bind(port).is_some());
+            is_free.then_some((claim, first + 1))
+        })
         .expect("free ports")
 }
 
