--- a/crates/celerycove-control/src/raft.rs
+++ b/crates/celerycove-control/src/raft.rs
@@ -274,18 +274,21 @@
             return;
         };
         let members = self.members_at(self.applied_index);
+        // The state is moved rather than copied: it may take up much of the instance's memory.
         let snapshot = Snapshot {
             index: self.applied_index,
             term,
             members: members.clone(),
-            state: self.state.clone(),
+            state: std::mem::take(&mut self.state),
         };
         let tail = self.log.slice(self.applied_index + 1, usize::MAX);
-        if let Err(error) = self.storage.save_snapshot(&snapshot, &tail) {
+        let saved = self.storage.save_snapshot(&snapshot, &tail);
+        self.state = snapshot.state;
+        if let Err(error) = saved {
             self.fatal_error = Some(error);
             return;
         }
-        self.log.compact(snapshot.index, term);
+        self.log.compact(self.applied_index, term);
         self.snapshot_members = members;
     }
 
--- a/crates/celerycove-control/src/transfer.rs
+++ b/crates/celerycove-control/src/transfer.rs
@@ -190,7 +190,10 @@
             self.send(from, reply);
             return;
         }
-        match rmp_serde::from_slice::<Snapshot>(&incoming.bytes) {
+        let decoded = rmp_serde::from_slice::<Snapshot>(&incoming.bytes);
+        // Frees the encoded form before the snapshot is saved.
+        drop(incoming);
+        match decoded {
             Ok(snapshot) => self.accept_snapshot(from, snapshot, (round, confirmed)),
             Err(error) => self.fatal_error = Some(codec_error("decode a snapshot for", &error)),
         }
--- a/crates/celerycove-disk/src/control.rs
+++ b/crates/celerycove-disk/src/control.rs
@@ -76,13 +76,15 @@
             .map_err(storage_error("load"))?;
         let snapshot = value::load::<Snapshot>(&self.directory.join("snapshot"))
             .map_err(storage_error("load"))?;
-        let (records, payloads) = Records::open(&self.log_path()).map_err(storage_error("load"))?;
-        self.log = Some(records);
         let snapshot_index = snapshot.as_ref().map_or(0, |snapshot| snapshot.index);
+        let mut decoded = Vec::new();
+        let records = Records::open_each(&self.log_path(), |payload| {
+            decoded.push(value::decode::<Entry>(&self.log_path(), &payload));
+        });
+        self.log = Some(records.map_err(storage_error("load"))?);
         let mut entries: Vec<Entry> = Vec::new();
-        for payload in payloads {
-            let entry: Entry =
-                value::decode(&self.log_path(), &payload).map_err(storage_error("load"))?;
+        for entry in decoded {
+            let entry = entry.map_err(storage_error("load"))?;
             if entry.index <= snapshot_index {
                 continue;
             }
--- a/crates/celerycove-disk/src/records.rs
+++ b/crates/celerycove-disk/src/records.rs
@@ -2,7 +2,7 @@
 
 use std::{
     fs::{File, OpenOptions},
-    io::{self, Read, Seek, SeekFrom, Write},
+    io::{self, BufReader, BufWriter, Read, Seek, SeekFrom, Write},
     path::{Path, PathBuf},
 };
 
@@ -33,7 +33,7 @@
         /// The file.
         path: PathBuf,
         /// Offset of the corrupt record.
-        offset: usize,
+        offset: u64,
     },
 }
 
@@ -53,6 +53,18 @@
     /// Returns an error if the file can't be read or truncated, or if a record before an intact one
     /// is corrupt.
     pub fn open(path: &Path) -> Result<(Self, Vec<Vec<u8>>), Error> {
+        let mut payloads = Vec::new();
+        let records = Self::open_each(path, |payload| payloads.push(payload))?;
+        Ok((records, payloads))
+    }
+
+    /// Opens a file like [`open`](Self::open) and passes each payload on as it is read, so that the
+    /// file is never in memory as a whole.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error in the same cases as [`open`](Self::open).
+    pub fn open_each(path: &Path, mut on_payload: impl FnMut(Vec<u8>)) -> Result<Self, Error> {
         let error_in = |operation| move |source| io_error(operation, path, source);
         let mut file = OpenOptions::new()
             .read(true)
@@ -61,32 +73,36 @@
             .truncate(false)
             .open(path)
             .map_err(error_in("open"))?;
-        let mut bytes = Vec::new();
-        file.read_to_end(&mut bytes).map_err(error_in("read"))?;
-        let mut payloads = Vec::new();
+        let file_length = file.metadata().map_err(error_in("read"))?.len();
         let mut offset = 0;
-        while let Some(payload) = decode(&bytes[offset..]) {
-            payloads.push(payload.to_vec());
-            offset += HEADER_BYTES + payload.len();
+        let mut reader = BufReader::new(&mut file);
+        while let Some(payload) =
+            read_record(&mut reader, file_length - offset).map_err(error_in("read"))?
+        {
+            offset += (HEADER_BYTES + payload.len()) as u64;
+            on_payload(payload);
         }
-        if offset < bytes.len() {
-            let intact_after = (offset + 1..bytes.len()).any(|at| decode(&bytes[at..]).is_some());
+        if offset < file_length {
+            let mut tail = Vec::new();
+            file.seek(SeekFrom::Start(offset))
+                .and_then(|_| file.read_to_end(&mut tail))
+                .map_err(error_in("read"))?;
+            let intact_after = (1..tail.len()).any(|at| decode(&tail[at..]).is_some());
             if intact_after {
                 let path = path.to_owned();
                 return Err(Error::Corrupt { path, offset });
             }
-            file.set_len(offset as u64).map_err(error_in("truncate"))?;
+            file.set_len(offset).map_err(error_in("truncate"))?;
             file.sync_all().map_err(error_in("sync"))?;
         }
-        file.seek(SeekFrom::Start(offset as u64))
+        file.seek(SeekFrom::Start(offset))
             .map_err(error_in("seek in"))?;
         sync_parent(path)?;
-        let records = Self {
+        Ok(Self {
             path: path.to_owned(),
             file,
-            length: offset as u64,
-        };
-        Ok((records, payloads))
+            length: offset,
+        })
     }
 
     /// Appends records with one sync. After an error the file must not be used any more.
@@ -142,6 +158,108 @@
     })
 }
 
+/// Atomically replaces the file at `path` by one record whose payload `write` produces. The payload
+/// is never in memory as a whole.
+///
+/// # Errors
+///
+/// Returns an error unless the new file is in place and synced.
+pub fn replace_with<E: From<Error>>(
+    path: &Path,
+    write: impl FnOnce(&mut dyn Write) -> Result<(), E>,
+) -> Result<(), E> {
+    let temporary = path.with_extension("new");
+    let error_in = |operation| move |source| io_error(operation, path, source);
+    let mut file = File::create(&temporary).map_err(error_in("create a successor of"))?;
+    file.write_all(&[0; HEADER_BYTES])
+        .map_err(error_in("write a successor of"))?;
+    let mut writer = Checksummed {
+        inner: BufWriter::new(file),
+        hasher: crc32fast::Hasher::new(),
+        length: 0,
+    };
+    write(&mut writer)?;
+    writer.flush().map_err(error_in("write a successor of"))?;
+    let Checksummed {
+        inner,
+        hasher: payload_hasher,
+        length,
+    } = writer;
+    let mut file = inner
+        .into_inner()
+        .map_err(io::IntoInnerError::into_error)
+        .map_err(error_in("write a successor of"))?;
+    let mut hasher = crc32fast::Hasher::new();
+    hasher.update(&length.to_le_bytes());
+    hasher.combine(&payload_hasher);
+    let header = header(length, hasher.finalize());
+    file.seek(SeekFrom::Start(0))
+        .and_then(|_| file.write_all(&header))
+        .map_err(error_in("write a successor of"))?;
+    file.sync_all().map_err(error_in("sync a successor of"))?;
+    std::fs::rename(&temporary, path).map_err(error_in("replace"))?;
+    sync_parent(path)?;
+    Ok(())
+}
+
+/// Opens a file that [`replace_with`] wrote and returns a reader of its payload, after a check of the
+/// whole payload. Returns `None` if the file does not consist of one intact record.
+///
+/// # Errors
+///
+/// Returns an error if the file can't be read.
+pub fn open_single(path: &Path) -> Result<Option<impl Read>, Error> {
+    let error_in = |operation| move |source| io_error(operation, path, source);
+    let mut file = File::open(path).map_err(error_in("open"))?;
+    let file_length = file.metadata().map_err(error_in("read"))?.len();
+    let mut start = [0; HEADER_BYTES];
+    if file_length < HEADER_BYTES as u64 {
+        return Ok(None);
+    }
+    file.read_exact(&mut start).map_err(error_in("read"))?;
+    let Some(length) = payload_length(&start) else {
+        return Ok(None);
+    };
+    if u64::from(length) != file_length - HEADER_BYTES as u64 {
+        return Ok(None);
+    }
+    let mut sink = Checksummed {
+        inner: io::sink(),
+        hasher: crc32fast::Hasher::new(),
+        length: 0,
+    };
+    sink.hasher.update(&length.to_le_bytes());
+    io::copy(&mut BufReader::new(&mut file), &mut sink).map_err(error_in("read"))?;
+    if header(length, sink.hasher.finalize()) != start {
+        return Ok(None);
+    }
+    file.seek(SeekFrom::Start(HEADER_BYTES as u64))
+        .map_err(error_in("seek in"))?;
+    Ok(Some(BufReader::new(file)))
+}
+
+/// Writes to `inner` and computes the length and checksum of what was written.
+struct Checksummed<W> {
+    inner: W,
+    hasher: crc32fast::Hasher,
+    length: u32,
+}
+
+impl<W: Write> Write for Checksummed<W> {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        let written = self.inner.write(bytes)?;
+        self.hasher.update(&bytes[..written]);
+        // Payloads stay far below MAX_PAYLOAD_BYTES, which is enforced on reading.
+        let length = u32::try_from(written).unwrap_or(u32::MAX);
+        self.length = self.length.saturating_add(length);
+        Ok(written)
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        self.inner.flush()
+    }
+}
+
 /// Syncs the directory of `path`, so that the file's creation or renaming is durable.
 fn sync_parent(path: &Path) -> Result<(), Error> {
     let Some(parent) = path.parent() else {
@@ -163,12 +281,45 @@
 fn encode(payload: &[u8], buffer: &mut Vec<u8>) {
     // Payloads stay far below MAX_PAYLOAD_BYTES, which is enforced on reading.
     let length = u32::try_from(payload.len()).unwrap_or(u32::MAX);
-    buffer.extend_from_slice(&MAGIC.to_le_bytes());
-    buffer.extend_from_slice(&length.to_le_bytes());
-    buffer.extend_from_slice(&checksum(length, payload).to_le_bytes());
+    buffer.extend_from_slice(&header(length, checksum(length, payload)));
     buffer.extend_from_slice(payload);
 }
 
+fn header(length: u32, checksum: u32) -> [u8; HEADER_BYTES] {
+    let mut header = [0; HEADER_BYTES];
+    header[..4].copy_from_slice(&MAGIC.to_le_bytes());
+    header[4..8].copy_from_slice(&length.to_le_bytes());
+    header[8..].copy_from_slice(&checksum.to_le_bytes());
+    header
+}
+
+/// Returns the payload's length if the header may begin a record.
+fn payload_length(header: &[u8; HEADER_BYTES]) -> Option<u32> {
+    let read_u32 = |at: usize| u32::from_le_bytes([0, 1, 2, 3].map(|n| header[at + n]));
+    let length = read_u32(4);
+    (read_u32(0) == MAGIC && length as usize <= MAX_PAYLOAD_BYTES).then_some(length)
+}
+
+/// Reads the payload of the next record, or `None` if the `available` bytes don't begin with an
+/// intact one.
+fn read_record(reader: &mut impl Read, available: u64) -> io::Result<Option<Vec<u8>>> {
+    let mut start = [0; HEADER_BYTES];
+    if available < HEADER_BYTES as u64 {
+        return Ok(None);
+    }
+    reader.read_exact(&mut start)?;
+    let Some(length) = payload_length(&start) else {
+        return Ok(None);
+    };
+    if available < HEADER_BYTES as u64 + u64::from(length) {
+        return Ok(None);
+    }
+    let mut payload = vec![0; length as usize];
+    reader.read_exact(&mut payload)?;
+    let is_intact = header(length, checksum(length, &payload)) == start;
+    Ok(is_intact.then_some(payload))
+}
+
 fn checksum(length: u32, payload: &[u8]) -> u32 {
     let mut hasher = crc32fast::Hasher::new();
     hasher.update(&length.to_le_bytes());
@@ -179,17 +330,8 @@
 /// Returns the payload of the record that `bytes` start with, if it is complete and its checksum is
 /// right.
 fn decode(bytes: &[u8]) -> Option<&[u8]> {
-    let read_u32 = |at: usize| -> Option<u32> {
-        let bytes = bytes.get(at..at + 4)?;
-        Some(u32::from_le_bytes(bytes.try_into().ok()?))
-    };
-    if read_u32(0)? != MAGIC {
-        return None;
-    }
-    let length = read_u32(4)?;
-    let size = usize::try_from(length)
-        .ok()
-        .filter(|size| *size <= MAX_PAYLOAD_BYTES)?;
-    let payload = bytes.get(HEADER_BYTES..HEADER_BYTES.checked_add(size)?)?;
-    (checksum(length, payload) == read_u32(8)?).then_some(payload)
+    let start = bytes.get(..HEADER_BYTES)?.try_into().ok()?;
+    let length = payload_length(start)?;
+    let payload = bytes.get(HEADER_BYTES..HEADER_BYTES + length as usize)?;
+    (header(length, checksum(length, payload)) == *start).then_some(payload)
 }
--- a/crates/celerycove-disk/src/value.rs
+++ b/crates/celerycove-disk/src/value.rs
@@ -38,9 +38,12 @@
 ///
 /// Returns an error unless the new value is in place and synced.
 pub fn save<T: Serialize>(path: &Path, value: &T) -> Result<(), Error> {
-    let payload = encode(path, value)?;
-    records::replace(path, &[payload])?;
-    Ok(())
+    records::replace_with(path, |mut writer| {
+        rmp_serde::encode::write_named(&mut writer, value).map_err(|source| Error::Encode {
+            path: path.to_owned(),
+            source,
+        })
+    })
 }
 
 /// Reads the value of a file; returns `None` if there is no file or it is empty.
@@ -52,6 +55,13 @@
     if !path.exists() {
         return Ok(None);
     }
+    if let Some(reader) = records::open_single(path)? {
+        let value = rmp_serde::from_read(reader).map_err(|source| Error::Decode {
+            path: path.to_owned(),
+            source,
+        })?;
+        return Ok(Some(value));
+    }
     let (_, payloads) = Records::open(path)?;
     payloads
         .last()
--- a/crates/celerycove-disk/tests/disk.rs
+++ b/crates/celerycove-disk/tests/disk.rs
@@ -10,6 +10,7 @@
     Journal, Store,
     journal::Batch,
     records::{Error, Records},
+    value::{load, save},
 };
 use celerycove_program::{Op, Record, message::Position};
 use quickcheck::{Arbitrary, Gen};
@@ -180,3 +181,47 @@
     let (_, recovered) = Journal::open(directory.path()).expect("a journal");
     assert_eq!(recovered.into_iter().collect::<Vec<_>>(), snapshots);
 }
+
+/// A store's snapshot takes up much of its instance's memory, so neither saving nor loading it may
+/// hold it in memory a second time.
+#[test]
+fn a_value_written_in_pieces_is_read_like_one_written_at_once() {
+    let directory = TempDir::new("pieces");
+    let path = directory.path().join("value");
+    let value: Vec<String> = (0..20_000).map(|number| format!("text {number}")).collect();
+    save(&path, &value).expect("saved");
+    assert_eq!(load(&path).expect("intact"), Some(value.clone()));
+    let (_, payloads) = Records::open(&path).expect("a file of one record");
+    assert_eq!(payloads.len(), 1);
+    assert!(payloads[0] == rmp_serde::to_vec_named(&value).expect("encoded"));
+}
+
+#[test]
+fn a_changed_byte_in_a_value_is_noticed() {
+    let directory = TempDir::new("changed");
+    let path = directory.path().join("value");
+    save(&path, &vec![7_u32; 5_000]).expect("saved");
+    let original = std::fs::read(&path).expect("bytes");
+    for offset in [0, 5, 9, 12, original.len() / 2, original.len() - 1] {
+        let mut changed = original.clone();
+        changed[offset] ^= 1;
+        std::fs::write(&path, &changed).expect("written");
+        let loaded = load::<Vec<u32>>(&path);
+        assert!(!matches!(loaded, Ok(Some(_))), "byte {offset}");
+    }
+}
+
+#[test]
+fn a_log_of_many_records_is_read_one_record_at_a_time() {
+    let directory = TempDir::new("each");
+    let path = directory.path().join("records");
+    let payloads: Vec<String> = (0..1_000)
+        .map(|number| format!("record {number}"))
+        .collect();
+    let (mut records, _) = Records::open(&path).expect("a file");
+    records.append(&payloads).expect("synced");
+    let mut read = Vec::new();
+    let reopened = Records::open_each(&path, |payload| read.push(payload)).expect("intact");
+    assert_eq!(reopened.length(), records.length());
+    assert!(read.iter().eq(payloads.iter().map(String::as_bytes)));
+}
