feat(gateway): refuse turns at once while the stores stay out of reach

Cause: a turn waited 2.5 s for a store even if none was known or none had led for long, and its caller was told to come back after 0.4 s, all at about the same time. Change: an entry that gets no answer from the stores waits only until a lost leader would have been replaced (1.2 s from the first failure), then refuses at once; meanwhile it looks for a leader with empty batches. Callers are told to come back after half the outage's age so far, spread by chance.

--- a/crates/celerycove-gateway/src/entry.rs
+++ b/crates/celerycove-gateway/src/entry.rs
@@ -4,6 +4,7 @@
 mod events;
 mod exchange;
 mod hop;
+mod outage;
 mod pool;
 pub(crate) mod rate_limit;
 mod recent;
--- a/crates/celerycove-gateway/src/entry/refuse.rs
+++ b/crates/celerycove-gateway/src/entry/refuse.rs
@@ -36,8 +36,8 @@
     OverBudget,
     /// The turn to continue from is unknown.
     NoTurn,
-    /// The stores did not reply in time.
-    NoStore,
+    /// The stores are out of reach; they are expected back after the given time.
+    NoStore(Duration),
     /// No backend server can take the request now.
     NoServer,
     /// All backend servers that were tried declined the request or were out of reach.
@@ -71,7 +71,7 @@
             Self::OverRate(_) => StatusCode::TOO_MANY_REQUESTS,
             Self::Failed => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
-            Self::NotReady | Self::NoStore | Self::NoServer | Self::Declined | Self::TooLate => {
+            Self::NotReady | Self::NoStore(_) | Self::NoServer | Self::Declined | Self::TooLate => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
         }
@@ -87,7 +87,8 @@
     fn retry_after(self) -> Option<Duration> {
         match self {
             Self::OverRate(delay) => Some(delay.max(RETRY_AFTER_FULL)),
-            Self::NotReady | Self::NoStore | Self::NoServer => Some(RETRY_AFTER_UNAVAILABLE),
+            Self::NoStore(delay) => Some(delay.max(RETRY_AFTER_FULL)),
+            Self::NotReady | Self::NoServer => Some(RETRY_AFTER_UNAVAILABLE),
             Self::Declined => Some(RETRY_AFTER_FULL),
             _ => None,
         }
--- a/crates/celerycove-gateway/src/entry/serve.rs
+++ b/crates/celerycove-gateway/src/entry/serve.rs
@@ -379,7 +379,8 @@
             reservation.pending = false;
             Err(Refusal::NoTurn)
         }
-        Ok(Outcome::Ended) | Err(_) => Err(Refusal::NoStore),
+        Ok(Outcome::Ended) => Err(Refusal::NoStore(Duration::ZERO)),
+        Err(unavailable) => Err(Refusal::NoStore(unavailable.return_after)),
     }
 }
 
--- a/crates/celerycove-gateway/src/entry/turns.rs
+++ b/crates/celerycove-gateway/src/entry/turns.rs
@@ -16,7 +16,10 @@
 use celerycove_types::{Timestamp, id};
 use tokio::sync::{Notify, oneshot};
 
-use super::chains::{Cache, Chain};
+use super::{
+    chains::{Cache, Chain},
+    outage::Outage,
+};
 use crate::{
     clock,
     link::{Connections, lock},
@@ -28,6 +31,8 @@
 const STORE_TIMEOUT: Duration = Duration::from_millis(700);
 /// Delay before a batch is sent again after a failure or while no store leads.
 const RETRY_DELAY: Duration = Duration::from_millis(60);
+/// How often an entry that is out of reach of the stores probes them while no command does.
+const PROBE_INTERVAL: Duration = Duration::from_millis(200);
 /// How long ends that no caller waits for are collected before a batch is sent.
 const BATCH_DELAY: Duration = Duration::from_millis(40);
 /// How long sending the end of a turn is retried; after that the whole reservation counts as spent.
@@ -56,6 +61,7 @@
     connections: Arc<Connections>,
     metrics: Arc<Metrics>,
     stores: Mutex<Stores>,
+    outage: Mutex<Outage>,
     queue: Mutex<VecDeque<Pending>>,
     /// Notified to send the next batch without waiting for [`BATCH_DELAY`].
     wake: Notify,
@@ -65,7 +71,10 @@
 
 /// No store replied in time; the command may have been committed nevertheless.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) struct Unavailable;
+pub(super) struct Unavailable {
+    /// When a new attempt is likely to succeed.
+    pub(super) return_after: Duration,
+}
 
 impl Client {
     pub(super) fn start(connections: Arc<Connections>, metrics: Arc<Metrics>) -> Arc<Self> {
@@ -73,12 +82,14 @@
             connections,
             metrics,
             stores: Mutex::default(),
+            outage: Mutex::default(),
             queue: Mutex::default(),
             wake: Notify::new(),
             chains: Mutex::default(),
             batches_in_flight: AtomicUsize::new(0),
         });
         tokio::spawn(client.clone().run());
+        tokio::spawn(client.clone().probe_stores());
         client
     }
 
@@ -113,14 +124,19 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if no store replies within `timeout`.
+    /// Returns an error if no store replies within `timeout`, or at once if the stores have been out
+    /// of reach for longer than the replacement of a leader usually takes.
     pub(super) async fn begin(
         &self,
         begin: Begin,
         timeout: Duration,
     ) -> Result<Outcome, Unavailable> {
         let requested_at = clock::now();
-        let outcome = self.submit(Command::Begin(begin), timeout).await;
+        let patience = lock(&self.outage).patience(requested_at, timeout);
+        if patience.is_zero() {
+            return Err(self.unavailable());
+        }
+        let outcome = self.submit(Command::Begin(begin), patience).await;
         self.metrics
             .record_turn_step("begin", clock::now().saturating_sub(requested_at));
         outcome
@@ -138,17 +154,22 @@
             .record_turn_step("end", clock::now().saturating_sub(requested_at));
         match outcome? {
             Outcome::Ended => Ok(()),
-            _ => Err(Unavailable),
+            _ => Err(self.unavailable()),
         }
     }
 
+    fn unavailable(&self) -> Unavailable {
+        let return_after = lock(&self.outage).return_after(clock::now(), rand::random());
+        Unavailable { return_after }
+    }
+
     async fn submit(&self, command: Command, timeout: Duration) -> Result<Outcome, Unavailable> {
         let (reply, outcome) = oneshot::channel();
         self.enqueue(command, clock::now() + timeout, Some(reply));
         self.wake.notify_one();
         match tokio::time::timeout(timeout, outcome).await {
             Ok(Ok(outcome)) => Ok(outcome),
-            Ok(Err(_)) | Err(_) => Err(Unavailable),
+            Ok(Err(_)) | Err(_) => Err(self.unavailable()),
         }
     }
 
@@ -229,36 +250,75 @@
             if batch.is_empty() {
                 return;
             }
-            let Some(store) = self.next_store(attempt) else {
-                tokio::time::sleep(RETRY_DELAY).await;
-                continue;
-            };
-            attempt += 1;
             let commands = batch.iter().map(|pending| pending.command.clone());
-            let request = RpcRequest::Turns(commands.collect());
-            match self
-                .connections
-                .request(&store, request, STORE_TIMEOUT)
-                .await
-            {
-                Ok(Reply::Turns(outcomes)) if outcomes.len() == batch.len() => {
-                    lock(&self.stores).leader = Some(store);
+            match self.send_commands(attempt, commands.collect()).await {
+                Sent::Outcomes(outcomes) => {
                     deliver_outcomes(batch, outcomes);
                     return;
                 }
-                Ok(Reply::NotLeader(leader)) => {
-                    let new_leader = leader.filter(|leader| *leader != store);
-                    let leader_known = new_leader.is_some();
-                    self.update_leader(&store, new_leader);
-                    if !leader_known {
-                        tokio::time::sleep(RETRY_DELAY).await;
-                    }
+                Sent::Redirected => {}
+                Sent::Failed => tokio::time::sleep(RETRY_DELAY).await,
+            }
+            attempt += 1;
+        }
+    }
+
+    /// Sends commands once, to the leader or, if none is known, to the store whose turn it is at
+    /// this attempt.
+    async fn send_commands(&self, attempt: usize, commands: Vec<Command>) -> Sent {
+        let Some(store) = self.next_store(attempt) else {
+            self.record_failure();
+            return Sent::Failed;
+        };
+        let count = commands.len();
+        let request = RpcRequest::Turns(commands);
+        let reply = self.connections.request(&store, request, STORE_TIMEOUT);
+        match reply.await {
+            Ok(Reply::Turns(outcomes)) if outcomes.len() == count => {
+                lock(&self.stores).leader = Some(store);
+                let lasted = lock(&self.outage).record_success(clock::now());
+                if let Some(lasted) = lasted {
+                    log::info!(target: "turn", lasted_ms = clock::millis(lasted);
+                        "the stores are in reach again");
                 }
-                Ok(_) | Err(_) => {
-                    self.update_leader(&store, None);
-                    tokio::time::sleep(RETRY_DELAY).await;
+                Sent::Outcomes(outcomes)
+            }
+            Ok(Reply::NotLeader(leader)) => {
+                let new_leader = leader.filter(|leader| *leader != store);
+                let leader_known = new_leader.is_some();
+                self.update_leader(&store, new_leader);
+                if leader_known {
+                    Sent::Redirected
+                } else {
+                    self.record_failure();
+                    Sent::Failed
                 }
             }
+            Ok(_) | Err(_) => {
+                self.update_leader(&store, None);
+                self.record_failure();
+                Sent::Failed
+            }
+        }
+    }
+
+    fn record_failure(&self) {
+        if lock(&self.outage).record_failure(clock::now()) {
+            log::warn!(target: "turn", "the stores are out of reach");
+        }
+    }
+
+    /// While the stores are out of reach, looks for a leader with batches that contain no command,
+    /// since turns may be refused without being sent.
+    async fn probe_stores(self: Arc<Self>) {
+        let mut attempt = 0;
+        loop {
+            tokio::time::sleep(PROBE_INTERVAL.mul_f64(0.5 + rand::random::<f64>())).await;
+            let is_idle = self.batches_in_flight.load(Relaxed) == 0;
+            if is_idle && lock(&self.outage).is_active() {
+                self.send_commands(attempt, Vec::new()).await;
+                attempt += 1;
+            }
         }
     }
 
@@ -284,6 +344,16 @@
     }
 }
 
+/// What became of commands that were sent to a store.
+enum Sent {
+    /// They are committed.
+    Outcomes(Vec<Outcome>),
+    /// The store is not the leader and named another one.
+    Redirected,
+    /// No store or no leader is known, or the store did not reply.
+    Failed,
+}
+
 fn deliver_outcomes(batch: Vec<Pending>, outcomes: Vec<Outcome>) {
     for (pending, outcome) in batch.into_iter().zip(outcomes) {
         if let Some(reply) = pending.reply {
