fix(gateway): end answers, streams and frames that never end by themselves

(2) A stream whose bytes always arrive was read past its deadline, a byte now and then counted as progress, and a turn could get more events than it had reserved tokens for; a caller that stops reading kept its stream open. (3) Buffered responses had a limit each but none together. (4) A peer could announce a frame of 256 MB before it was known; a request's body to a control instance had no time limit.

--- a/crates/celerycove-gateway/src/control.rs
+++ b/crates/celerycove-gateway/src/control.rs
@@ -75,7 +75,8 @@
     bootstrap: Mutex<bootstrap::Bootstrap>,
 }
 
-/// Starts a control instance.
+/// Starts a control instance and returns the task that serves operators and backend servers. It ends
+/// once `stop` is true and all open requests are answered.
 ///
 /// # Errors
 ///
@@ -85,7 +86,7 @@
     setup: Setup,
     dialect: Arc<dyn Dialect>,
     stop: watch::Receiver<bool>,
-) -> Result<(), Error> {
+) -> Result<tokio::task::JoinHandle<()>, Error> {
     let address = setup
         .listen
         .control
@@ -125,9 +126,9 @@
     link::listen(internal, control.clone()).await?;
     control.connect(&control.setup.seed_processes());
     let listener = http::bind(address)?;
-    tokio::spawn(http::serve(listener, control.clone(), stop));
+    let server = tokio::spawn(http::serve(listener, control.clone(), stop));
     tokio::spawn(async move { control.run_maintenance().await });
-    Ok(())
+    Ok(server)
 }
 
 impl Control {
--- a/crates/celerycove-gateway/src/entry.rs
+++ b/crates/celerycove-gateway/src/entry.rs
@@ -26,7 +26,7 @@
 use celerycove_route::direct::{Registration, Servers};
 use celerycove_types::{Timestamp, id};
 use hyper::{Request, Response, StatusCode, body::Incoming};
-use tokio::sync::watch;
+use tokio::sync::{Semaphore, watch};
 
 use crate::{
     Dialect, Error, Setup,
@@ -67,6 +67,8 @@
     turns: Arc<turns::Client>,
     metrics: Arc<Metrics>,
     stopping: AtomicBool,
+    /// Bytes that may be used to buffer responses.
+    response_buffers: Arc<Semaphore>,
     /// Programs of which this entry has admitted a request recently.
     recent_programs: Mutex<recent::Programs>,
 }
@@ -112,6 +114,7 @@
         connections: connections.clone(),
         metrics,
         stopping: AtomicBool::new(false),
+        response_buffers: Arc::new(Semaphore::new(exchange::MAX_TOTAL_BUFFERED_BYTES)),
         recent_programs: Mutex::default(),
         setup,
     });
--- a/crates/celerycove-gateway/src/entry/exchange.rs
+++ b/crates/celerycove-gateway/src/entry/exchange.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use celerycove_fleet::{
     Index,
     config::{Route, ServiceName},
@@ -14,6 +14,8 @@
     HeaderMap, Method, Request, StatusCode, Uri, body::Incoming, header, http::response::Parts,
 };
 
+use tokio::sync::Semaphore;
+
 use super::{
     Entry, Refusal,
     pool::{PooledConnection, SendError},
@@ -32,6 +34,8 @@
 const MAX_TRIES: u32 = 5;
 /// Limit on a response that is buffered completely before it is forwarded.
 const MAX_BUFFERED_BYTES: usize = 16 << 20;
+/// Limit on all responses that are being buffered: part of the memory of the smallest instance.
+pub(super) const MAX_TOTAL_BUFFERED_BYTES: usize = 32 << 20;
 /// Multiple of the route's target latency after which a request that may be repeated is retried at
 /// another backend server.
 const RESPONSE_TIMEOUT_FACTOR: u32 = 3;
@@ -340,10 +344,10 @@
         } = exchange;
         let left = self.deadline.saturating_sub(clock::now());
         let guard = InFlightGuard::new(self, &choice);
-        let collected = Limited::new(body, MAX_BUFFERED_BYTES).collect();
+        let collected = collect(body, &self.entry.response_buffers);
         let collected = tokio::time::timeout(left, collected).await;
         guard.disarm();
-        let Ok(Ok(collected)) = collected else {
+        let Ok(Some(collected)) = collected else {
             self.record_attempt(&choice, Outcome::Failed, "broken off", &head.status);
             self.excluded.push(choice.backend);
             return None;
@@ -363,7 +367,7 @@
         }
         Some(BufferedResponse {
             head,
-            body: collected.to_bytes(),
+            body: collected,
         })
     }
 
@@ -405,6 +409,23 @@
     }
 }
 
+/// Reads a body to its end. Returns `None` if it is interrupted, or if it exceeds the limit on one
+/// body or on all that are being read.
+async fn collect(body: Incoming, buffers: &Arc<Semaphore>) -> Option<Bytes> {
+    let mut body = Limited::new(body, MAX_BUFFERED_BYTES);
+    let mut collected = BytesMut::new();
+    let mut reserved = Vec::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.ok()?.into_data() else {
+            continue;
+        };
+        let length = u32::try_from(data.len()).ok()?;
+        reserved.push(buffers.clone().try_acquire_many_owned(length).ok()?);
+        collected.extend_from_slice(&data);
+    }
+    Some(collected.freeze())
+}
+
 /// Returns whether the connection stays open after a response.
 pub(super) fn keeps_alive(head: &Parts) -> bool {
     let mut options = head.headers.get_all(header::CONNECTION).iter();
--- a/crates/celerycove-gateway/src/entry/relay.rs
+++ b/crates/celerycove-gateway/src/entry/relay.rs
@@ -26,7 +26,7 @@
 
 /// Limit on chunks that wait for a slow caller.
 const CHUNK_QUEUE_LENGTH: usize = 32;
-/// Gap in a stream's data after which it is resumed at another backend server, if it may be.
+/// Gap between a stream's events after which it is resumed at another backend server, if it may be.
 const MAX_EVENT_GAP: Duration = Duration::from_millis(1_200);
 
 type Chunk = Result<Frame<Bytes>, BoxError>;
@@ -157,14 +157,18 @@
         } = exchange;
         let guard = InFlightGuard::new(&self.dispatch, &choice);
         let mut splitter = Splitter::default();
+        let mut last_event_at = clock::now();
         let stop = loop {
+            // Checked also while data arrives: it may never end, and need not consist of events.
+            if let Some(stop) = self.overdue(last_event_at) {
+                break stop;
+            }
             let frame = tokio::select! {
                 () = sender.closed() => break Stop::CallerLeft,
-                frame = tokio::time::timeout(self.read_timeout(), body.frame()) => frame,
+                frame = tokio::time::timeout(self.read_timeout(last_event_at), body.frame()) => frame,
             };
             match frame {
-                Err(_) if self.dispatch.deadline <= clock::now() => break Stop::TimedOut,
-                Err(_) => break Stop::Broken("stalled"),
+                Err(_) => {}
                 Ok(None) if splitter.is_empty() => break Stop::Whole,
                 Ok(None) => break Stop::Broken("stopped in an event"),
                 Ok(Some(Err(_))) => break Stop::Broken("connection lost"),
@@ -172,9 +176,13 @@
                     let Some(data) = frame.data_ref() else {
                         continue;
                     };
+                    let event_count = self.event_count;
                     if let Err(stop) = self.forward_events(&mut splitter, data, sender).await {
                         break stop;
                     }
+                    if self.event_count > event_count {
+                        last_event_at = clock::now();
+                    }
                 }
             }
         };
@@ -201,15 +209,37 @@
     }
 
     /// Returns the time limit for the next bytes.
-    fn read_timeout(&self) -> Duration {
-        let left = self.dispatch.deadline.saturating_sub(clock::now());
+    fn read_timeout(&self, last_event_at: Timestamp) -> Duration {
+        let now = clock::now();
+        let left = self.dispatch.deadline.saturating_sub(now);
         if self.dispatch.may_retry() {
-            left.min(MAX_EVENT_GAP)
+            left.min((last_event_at + MAX_EVENT_GAP).saturating_sub(now))
         } else {
             left
         }
     }
 
+    /// Returns how the stream ends if its deadline has expired, or if it may be resumed elsewhere and
+    /// the next event is overdue.
+    fn overdue(&self, last_event_at: Timestamp) -> Option<Stop> {
+        let now = clock::now();
+        if now >= self.dispatch.deadline {
+            return Some(Stop::TimedOut);
+        }
+        let is_stalled = now >= last_event_at + MAX_EVENT_GAP && self.dispatch.may_retry();
+        is_stalled.then_some(Stop::Broken("stalled"))
+    }
+
+    /// Whether the turn has generated all the tokens that it may: a sound engine ends the stream
+    /// then, and more tokens could exceed the program's budget.
+    fn has_spent_all(&self) -> bool {
+        let max_tokens = self.dispatch.call.tokens.map(|(_, most)| most);
+        self.reservation
+            .as_ref()
+            .zip(max_tokens)
+            .is_some_and(|(reservation, most)| reservation.spent >= most)
+    }
+
     /// Forwards the events that are complete with `data`.
     async fn forward_events(
         &mut self,
@@ -230,6 +260,9 @@
                 }
                 _ => {}
             }
+            if self.has_spent_all() {
+                return Err(Stop::Broken("more events than the turn may have"));
+            }
             self.last_event = event.id.or(self.last_event);
             self.event_count += 1;
             if let Some(reservation) = &mut self.reservation {
@@ -249,8 +282,13 @@
             let took = now.saturating_sub(self.dispatch.started);
             self.dispatch.entry.metrics.record_first_byte(took);
         }
-        let sent = sender.send(Ok(Frame::data(out.freeze()))).await;
-        sent.map_err(|_| Stop::CallerLeft)
+        // A caller that no longer reads would otherwise keep the stream open.
+        let left = self.dispatch.caller_deadline.saturating_sub(clock::now());
+        let sent = sender.send(Ok(Frame::data(out.freeze())));
+        match tokio::time::timeout(left, sent).await {
+            Ok(sent) => sent.map_err(|_| Stop::CallerLeft),
+            Err(_) => Err(Stop::TimedOut),
+        }
     }
 
     /// Commits a complete turn to the stores before the caller sees the end of the stream.
--- a/crates/celerycove-gateway/src/entry/serve.rs
+++ b/crates/celerycove-gateway/src/entry/serve.rs
@@ -39,8 +39,6 @@
 const BEGIN_TURN_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// A request may wait for a rate limit token for its time limit divided by this number.
 const TOKEN_WAIT_DIVISOR: u32 = 4;
-/// Time limit for receiving the body of a request.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Route and organisation of an authenticated request.
 struct Admitted {
@@ -116,11 +114,11 @@
             .clone()
             .ok_or(Refusal::Malformed("request id"))?;
         let limit = admitted.index.config().limits.body_bytes;
-        let body = match tokio::time::timeout(BODY_TIMEOUT, http::read_body(body, limit)).await {
-            Ok(Ok(body)) => body,
-            Ok(Err(BodyError::TooLong)) => return Err(Refusal::TooLong),
-            Ok(Err(BodyError::Incomplete)) | Err(_) => return Err(Refusal::BodyBroken),
-        };
+        let body = http::read_body(body, limit).await;
+        let body = body.map_err(|error| match error {
+            BodyError::TooLong => Refusal::TooLong,
+            BodyError::Incomplete => Refusal::BodyBroken,
+        })?;
         let claim = self.token_claim(&admitted, &call);
         if let Some(organisation) = &admitted.organisation {
             self.spend_token(organisation, claim, &request, &call)
--- a/crates/celerycove-gateway/src/http.rs
+++ b/crates/celerycove-gateway/src/http.rs
@@ -28,6 +28,8 @@
 const LISTEN_BACKLOG: u32 = 1_024;
 /// The largest body of a request to a control instance: a configuration of many routes.
 pub const MAX_CONTROL_BODY_BYTES: usize = 16 << 20;
+/// Time limit for receiving the body of a request.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// The smallest connection buffer that hyper accepts.
 const MIN_BUFFER_BYTES: usize = 8 << 10;
 /// A connection is closed when the peer acknowledges no data for this long: a network partition
@@ -120,24 +122,36 @@
             },
             () = stopped(&mut stop) => break,
         };
-        set_socket_options(&stream);
-        let builder = builder(service.limits());
-        let service = service.clone();
-        let handler = service_fn(move |request| {
-            let service = service.clone();
-            async move { Ok::<_, Infallible>(service.handle(request).await) }
-        });
-        let connection = builder.serve_connection(TokioIo::new(stream), handler);
-        let connection = graceful.watch(connection);
-        tokio::spawn(async move {
-            // The log lines of its requests show how a caller's connection ended.
-            let _ = connection.await;
-        });
+        spawn_connection(stream, &service, &graceful);
+    }
+    // Connections that the system has established already may carry requests; closing the listener
+    // would reset them.
+    while let Ok(Ok((stream, _))) =
+        tokio::time::timeout(ACCEPT_RETRY_DELAY, listener.accept()).await
+    {
+        spawn_connection(stream, &service, &graceful);
     }
     drop(listener);
     graceful.shutdown().await;
 }
 
+/// Serves a connection in a task of its own.
+fn spawn_connection<S: Service>(stream: TcpStream, service: &Arc<S>, graceful: &GracefulShutdown) {
+    set_socket_options(&stream);
+    let builder = builder(service.limits());
+    let service = service.clone();
+    let handler = service_fn(move |request| {
+        let service = service.clone();
+        async move { Ok::<_, Infallible>(service.handle(request).await) }
+    });
+    let connection = builder.serve_connection(TokioIo::new(stream), handler);
+    let connection = graceful.watch(connection);
+    tokio::spawn(async move {
+        // The log lines of its requests show how a caller's connection ended.
+        let _ = connection.await;
+    });
+}
+
 /// Configures the server side of a connection. Hyper has a single timer for a request head and the
 /// idle time before it, so [`Limits::header_timeout`] is the longer of the two limits.
 fn builder(limits: Limits) -> hyper::server::conn::http1::Builder {
@@ -195,20 +209,21 @@
     /// The body is longer than the limit.
     #[error("the body is too long")]
     TooLong,
-    /// The connection failed before the end of the body.
+    /// The connection failed before the end of the body, or the body took too long.
     #[error("the body broke off")]
     Incomplete,
 }
 
-/// Reads a whole body of at most `limit` bytes.
+/// Reads a whole body of at most `limit` bytes within [`BODY_TIMEOUT`].
 ///
 /// # Errors
 ///
-/// Returns an error if the body is longer, or if the connection fails before its end.
+/// Returns an error if the body is longer, takes longer, or breaks off.
 pub async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, BodyError> {
-    match Limited::new(body, limit).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<http_body_util::LengthLimitError>() => Err(BodyError::TooLong),
-        Err(_) => Err(BodyError::Incomplete),
+    let collected = Limited::new(body, limit).collect();
+    match tokio::time::timeout(BODY_TIMEOUT, collected).await {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => Err(BodyError::TooLong),
+        Ok(Err(_)) | Err(_) => Err(BodyError::Incomplete),
     }
 }
--- a/crates/celerycove-gateway/src/link.rs
+++ b/crates/celerycove-gateway/src/link.rs
@@ -41,8 +41,10 @@
 /// The most frames that wait to be written to one peer; further frames are dropped, as on a broken
 /// connection.
 const SEND_QUEUE_FRAMES: usize = 4_096;
-/// The longest frame, which carries a snapshot of the stores' log.
-const MAX_FRAME_BYTES: usize = 256 << 20;
+/// The longest frame: a batch of the log's entries, whose largest one is a configuration.
+const MAX_FRAME_BYTES: usize = 32 << 20;
+/// The longest first frame, before the peer has introduced itself.
+const MAX_HELLO_BYTES: usize = 4 << 10;
 
 /// Handles the events of connections to and from peers. Its methods must not block.
 pub trait Handler: Send + Sync + 'static {
--- a/crates/celerycove-gateway/src/link/incoming.rs
+++ b/crates/celerycove-gateway/src/link/incoming.rs
@@ -10,8 +10,8 @@
 };
 
 use super::{
-    CONNECT_TIMEOUT, Handler, NEXT_CONNECTION, SEND_QUEUE_FRAMES, Sender, decode, framed,
-    run_connection,
+    CONNECT_TIMEOUT, Handler, MAX_FRAME_BYTES, MAX_HELLO_BYTES, NEXT_CONNECTION, SEND_QUEUE_FRAMES,
+    Sender, decode, framed, run_connection,
 };
 use crate::{Error, message::Frame};
 
@@ -43,6 +43,7 @@
 /// Reads the peer's introduction, then serves the connection until it is closed.
 async fn serve(stream: TcpStream, handler: Arc<dyn Handler>) {
     let mut stream = framed(stream);
+    stream.codec_mut().set_max_frame_length(MAX_HELLO_BYTES);
     let Ok(Some(Ok(first))) = timeout(CONNECT_TIMEOUT * 4, stream.next()).await else {
         return;
     };
@@ -50,6 +51,7 @@
         log::warn!(target: "link", "the first frame of a connection was not a hello");
         return;
     };
+    stream.codec_mut().set_max_frame_length(MAX_FRAME_BYTES);
     let (queue, mut frames) = mpsc::channel(SEND_QUEUE_FRAMES);
     let sender = Sender {
         queue,
--- a/crates/celerycove-gateway/tests/callers.rs
+++ b/crates/celerycove-gateway/tests/callers.rs
@@ -247,3 +247,80 @@
         },
     );
 }
+
+/// The entry passes no answer on and is free again before the caller's deadline of four seconds is
+/// well over, although the backend server sends until the connection is closed.
+async fn assert_cut_off(deployment: &Deployment, failure: Failure, path: &str) -> Reply {
+    deployment.set_failures([failure]);
+    let call = deployment.call("r1", path, Some("key-1"));
+    let reply = tokio::time::timeout(Duration::from_secs(6), call).await;
+    let reply = reply.expect("an answer in time");
+    assert!(reply.status >= 500 || !reply.complete, "{failure:?}");
+    let next = deployment.call("r2", "/plain/x", Some("key-1")).await;
+    assert_eq!(next.status, 200);
+    reply
+}
+
+#[test]
+fn a_response_head_without_end_fails_the_request() {
+    fleet::run(async |deployment: &Deployment| {
+        let reply = assert_cut_off(deployment, Failure::EndlessHead, "/once/x").await;
+        assert_eq!(reply.status, 502);
+    });
+}
+
+#[test]
+fn a_response_body_without_end_fails_the_request() {
+    fleet::run(async |deployment: &Deployment| {
+        let reply = assert_cut_off(deployment, Failure::EndlessBody, "/once/x").await;
+        assert_eq!(reply.status, 502);
+        assert_eq!(deployment.executed_requests().len(), 2);
+    });
+}
+
+#[test]
+fn a_stream_of_events_without_end_is_cut_off_at_the_deadline() {
+    fleet::run(async |deployment: &Deployment| {
+        assert_cut_off(deployment, Failure::EndlessBody, "/resumable/x").await;
+    });
+}
+
+#[test]
+fn a_turn_with_more_events_than_it_may_have_stays_within_its_reservation() {
+    fleet::run(async |deployment: &Deployment| {
+        deployment.set_failures([Failure::EndlessBody]);
+        let reply = deployment.turn("t1", None, "hello", Some(20)).await;
+        assert!(!reply.complete);
+        // Ten tokens are five events of two tokens each.
+        assert_eq!(reply.events().len(), 5);
+        assert_eq!(deployment.turn("t2", None, "b", Some(20)).await.status, 200);
+        assert_eq!(deployment.turn("t3", None, "c", Some(20)).await.status, 402);
+    });
+}
+
+#[test]
+fn a_stream_of_single_bytes_that_complete_no_event_counts_as_stalled() {
+    fleet::run(async |deployment: &Deployment| {
+        deployment.set_failures([Failure::TrickleStream]);
+        let reply = deployment.stream("s1", "/resumable/x").await;
+        assert!(reply.complete);
+        assert_eq!(reply.events(), ["1:one", "2:two", "3:three"]);
+    });
+}
+
+#[test]
+fn a_late_second_copy_of_an_answer_reaches_no_other_caller() {
+    fleet::run(async |deployment: &Deployment| {
+        deployment.set_failures([Failure::SecondCopy]);
+        let first = deployment.call("r1", "/once/x", Some("key-1")).await;
+        assert_eq!(first.status, 200);
+        for (number, pause_ms) in [40, 40, 40, 100].into_iter().enumerate() {
+            tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+            let id = format!("next-{number}");
+            let reply = deployment.call(&id, "/once/x", Some("key-1")).await;
+            // The copy may break the exchange that is under way, which is then not repeated.
+            assert!([200, 502].contains(&reply.status));
+            assert!(reply.status != 200 || reply.answers.as_deref() == Some(&id));
+        }
+    });
+}
--- a/crates/celerycove-gateway/tests/callers/backend.rs
+++ b/crates/celerycove-gateway/tests/callers/backend.rs
@@ -7,6 +7,7 @@
         Arc, Mutex,
         atomic::{AtomicUsize, Ordering::SeqCst},
     },
+    time::Duration,
 };
 
 use tokio::{
@@ -31,6 +32,14 @@
     TruncateStream,
     /// Sends one event of a stream and then nothing until the connection is closed.
     StallStream,
+    /// Sends one event of a stream and then a byte now and then that completes no event.
+    TrickleStream,
+    /// Sends events of a stream, or bytes of a plain response, until the connection is closed.
+    EndlessBody,
+    /// Sends header fields until the connection is closed.
+    EndlessHead,
+    /// Sends a whole response and, some time later, a second copy of it.
+    SecondCopy,
 }
 
 /// A request that a backend server executed.
@@ -58,6 +67,10 @@
     state: Arc<State>,
 }
 
+/// How long after a response its second copy is sent.
+const SECOND_COPY_DELAY: Duration = Duration::from_millis(100);
+/// The pause between two bytes of a stream that makes no progress.
+const TRICKLE_INTERVAL: Duration = Duration::from_millis(100);
 const EVENTS: [&str; 3] = [
     "id: 1\ndata: one\n\n",
     "id: 2\ndata: two\n\n",
@@ -144,6 +157,12 @@
     })
 }
 
+/// Sends the same bytes until the connection is closed.
+async fn send_without_end(stream: &mut TcpStream, text: &str) {
+    let text = text.repeat(1_000);
+    while stream.write_all(text.as_bytes()).await.is_ok() {}
+}
+
 async fn serve(mut stream: TcpStream, state: Arc<State>) {
     while let Some(request) = read(&mut stream).await {
         let failure = state.failures.lock().expect("a lock").pop_front();
@@ -154,6 +173,13 @@
                 .expect("a lock")
                 .push(request.executed.clone());
         }
+        if failure == Some(Failure::EndlessHead) {
+            let head = "HTTP/1.1 200 OK\r\n";
+            if stream.write_all(head.as_bytes()).await.is_ok() {
+                send_without_end(&mut stream, "field: value\r\n").await;
+            }
+            return;
+        }
         let keep_open = if request.path.starts_with("/plain") || request.path.starts_with("/once") {
             respond(&mut stream, &request, failure).await
         } else {
@@ -185,6 +211,17 @@
             let declined = "HTTP/1.1 503 No\r\ndeclined: 1\r\ncontent-length: 0\r\n\r\n";
             (declined.to_owned(), true)
         }
+        Some(Failure::EndlessBody) => {
+            let head = format!("HTTP/1.1 200 OK\r\nid: {id}\r\n\r\n");
+            stream.write_all(head.as_bytes()).await.ok()?;
+            send_without_end(stream, "answer").await;
+            return None;
+        }
+        Some(Failure::SecondCopy) => {
+            stream.write_all(response.as_bytes()).await.ok()?;
+            tokio::time::sleep(SECOND_COPY_DELAY).await;
+            (response, true)
+        }
         _ => (response, true),
     };
     stream.write_all(text.as_bytes()).await.ok()?;
@@ -216,6 +253,18 @@
                 let _ = stream.read(&mut byte).await;
                 return None;
             }
+            Some(Failure::TrickleStream) if index == 1 => {
+                while write_chunk(stream, ":").await.is_some() {
+                    tokio::time::sleep(TRICKLE_INTERVAL).await;
+                }
+                return None;
+            }
+            Some(Failure::EndlessBody) => {
+                for number in 1_u64.. {
+                    let event = format!("id: {number}\ndata: more\n\n");
+                    write_chunk(stream, &event).await?;
+                }
+            }
             _ => write_chunk(stream, event).await?,
         }
     }
--- a/crates/celerycove-gateway/tests/callers/fleet.rs
+++ b/crates/celerycove-gateway/tests/callers/fleet.rs
@@ -112,6 +112,8 @@
 pub struct Reply {
     pub status: u16,
     pub retry_after: Option<String>,
+    /// The identifier of the request that it answers.
+    pub answers: Option<String>,
     pub body: Vec<u8>,
     /// Whether the body was received to its end.
     pub complete: bool,
@@ -357,10 +359,14 @@
 async fn exchange(address: SocketAddr, request: Request<Full<Bytes>>) -> Reply {
     let (response, _connection) = send(address, request).await;
     let (head, mut body) = response.into_parts();
-    let retry_after = head.headers.get("retry-after");
+    let field = |name: &str| {
+        let value = head.headers.get(name);
+        value.map(|value| value.to_str().expect("text").to_owned())
+    };
     let mut reply = Reply {
         status: head.status.as_u16(),
-        retry_after: retry_after.map(|value| value.to_str().expect("text").to_owned()),
+        retry_after: field("retry-after"),
+        answers: field("id"),
         body: Vec::new(),
         complete: true,
     };
