feat(log): hold back lines on changed backend servers at size

Cause: each of 138 processes wrote a line for each of 209 backend servers at the start: 29,000 lines in four seconds. Change: the control instance that a backend server reports to logs each change; other processes log ten a second and tell how many lines they held back.

--- a/crates/celerycove-gateway/src/broadcast.rs
+++ b/crates/celerycove-gateway/src/broadcast.rs
@@ -24,6 +24,7 @@
     Registry,
     registry::{Change, Heartbeat},
 };
+use celerycove_log::limit::{Admitted, Limit};
 use celerycove_types::{Timestamp, id};
 use tokio::sync::Notify;
 
@@ -37,6 +38,8 @@
     setup::Role,
 };
 
+/// Lines a second about changes of backend servers that other processes told.
+const RELAYED_CHANGE_LINES: u32 = 10;
 /// A process from which nothing was heard for this long is removed from the known peers.
 const PEER_EXPIRY: Duration = Duration::from_mins(2);
 
@@ -55,6 +58,7 @@
     peers: Mutex<BTreeMap<id::Process, KnownPeer>>,
     leader: Mutex<Option<id::Process>>,
     lag: Mutex<Lag>,
+    change_lines: Mutex<LineLimit>,
 }
 
 /// What an update changed in a [`FleetState`].
@@ -136,15 +140,32 @@
         newer
     }
 
-    /// Merges one heartbeat of a backend server.
-    pub fn merge_heartbeat(&self, now: Timestamp, relayed: &RelayedHeartbeat) -> Change {
-        let change = lock(&self.registry).merge(now, relayed.age, relayed.beat.clone());
+    /// Merges a heartbeat that this process got from the backend server itself.
+    pub fn merge_own_heartbeat(&self, now: Timestamp, relayed: &RelayedHeartbeat) -> Change {
+        lock(&self.registry).merge(now, relayed.age, relayed.beat.clone())
+    }
+
+    /// Merges a heartbeat that another process passed on.
+    fn merge_heartbeat(&self, now: Timestamp, relayed: &RelayedHeartbeat) -> Change {
+        let change = self.merge_own_heartbeat(now, relayed);
         if change == Change::Update {
-            log_backend_change(&relayed.beat, relayed.age);
+            self.log_relayed_change(now, relayed);
         }
         change
     }
 
+    /// Logs a change of a backend server's state that another process told. The control instance that
+    /// it was reported to logs each; many start at once, so the others hold lines back.
+    fn log_relayed_change(&self, now: Timestamp, relayed: &RelayedHeartbeat) {
+        let Some(Admitted { held_back }) = lock(&self.change_lines).0.admit(now) else {
+            return;
+        };
+        if held_back > 0 {
+            log::info!(target: "registry", held_back; "lines on changed backend servers were held back");
+        }
+        log_backend_change(&relayed.beat, relayed.age);
+    }
+
     fn merge_peer(&self, now: Timestamp, status: PeerStatus) {
         let heard_at = now.saturating_sub(status.silent);
         let mut peers = lock(&self.peers);
@@ -209,6 +230,15 @@
     }
 }
 
+/// The limit on lines about changes of backend servers.
+struct LineLimit(Limit);
+
+impl Default for LineLimit {
+    fn default() -> Self {
+        Self(Limit::new(RELAYED_CHANGE_LINES))
+    }
+}
+
 /// Logs a change of a backend server's state.
 pub fn log_backend_change(heartbeat: &Heartbeat, age: Duration) {
     log::info!(target: "registry", backend:% = heartbeat.backend,
--- a/crates/celerycove-gateway/src/control/api.rs
+++ b/crates/celerycove-gateway/src/control/api.rs
@@ -99,12 +99,13 @@
             age: Duration::ZERO,
         };
         let now = clock::now();
-        match self.fleet_state.merge_heartbeat(now, &relayed) {
+        match self.fleet_state.merge_own_heartbeat(now, &relayed) {
             Change::Outdated => {}
             Change::Refreshed => {
                 lock(&self.recent_heartbeats).insert(backend, now);
             }
             Change::Update => {
+                log_backend_change(&relayed.beat, relayed.age);
                 lock(&self.recent_heartbeats).insert(backend, now);
                 self.publish_heartbeat(relayed, is_leaving).await;
             }
--- a/crates/celerycove-log/src/lib.rs
+++ b/crates/celerycove-log/src/lib.rs
@@ -3,6 +3,7 @@
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
 
+pub mod limit;
 pub mod line;
 pub mod output;
 
