fix(route): use a data centre's last sum while another instance takes over

Cause: a review of the shared requests in flight: engines of a data centre whose sum is missing counted with the requests of other data centres only, so they looked idle to everyone until the next control instance took over (1.6 s). Change: a sum is used for 3 s; without one of an engine's own data centre its load counts as unknown.

--- a/crates/celerycove-route/src/direct.rs
+++ b/crates/celerycove-route/src/direct.rs
@@ -243,19 +243,21 @@
         request: &Request<'_>,
     ) -> Option<Selection> {
         let shared_tokens = self.shared_parts.observe(request.affinity, request.prompt);
-        let counts_known = self.demand.is_known(now);
         let servers = self.services.get_mut(service)?;
         let candidates = candidates(now, servers, request, &self.data_centre);
         let considered = considered(servers, &candidates, request, &self.data_centre);
         let scores = considered.into_iter().map(|(index, rank)| {
             let server = &servers[index];
-            let backend = &server.registration.backend;
-            let elsewhere = counts_known.then(|| self.demand.of_others(now, backend));
+            let Registration {
+                backend,
+                data_centre,
+                ..
+            } = &server.registration;
             let conditions = Conditions {
                 shared_tokens,
-                elsewhere,
+                elsewhere: self.demand.of_others(now, backend, data_centre),
                 rank,
-                is_local: server.registration.data_centre == self.data_centre,
+                is_local: *data_centre == self.data_centre,
             };
             let delay = server.expected_delay(now, request, conditions);
             (server.is_suspect(now), delay, rank, index)
--- a/crates/celerycove-route/src/direct/demand.rs
+++ b/crates/celerycove-route/src/direct/demand.rs
@@ -8,8 +8,11 @@
 
 use celerycove_types::{Map, Timestamp, id};
 
-/// Age from which a report or a sum is ignored: several reports were lost.
-const MAX_AGE: Duration = Duration::from_secs(1);
+/// Age from which an entry's report is ignored: several reports were lost.
+const MAX_REPORT_AGE: Duration = Duration::from_secs(1);
+/// Age from which a data centre's sum is ignored. Until another control instance takes over from a
+/// lost one, the old sum is still closer to the truth than none.
+const MAX_SUM_AGE: Duration = Duration::from_secs(3);
 
 /// Numbers of requests in flight by backend server; those without any are left out.
 pub type Counts = Vec<(id::Backend, u32)>;
@@ -29,7 +32,7 @@
     /// Returns the sum of the recent reports, or `None` if there are none.
     pub fn total(&mut self, now: Timestamp) -> Option<Counts> {
         self.reports
-            .retain(|_, (at, _)| now.saturating_sub(*at) < MAX_AGE);
+            .retain(|_, (at, _)| now.saturating_sub(*at) < MAX_REPORT_AGE);
         let mut total: BTreeMap<&id::Backend, u32> = BTreeMap::new();
         for (backend, count) in self.reports.values().flat_map(|(_, counts)| counts) {
             *total.entry(backend).or_default() += count;
@@ -63,25 +66,25 @@
         self.by_data_centre.insert(data_centre, (now, total));
     }
 
-    /// Returns whether a recent sum of any data centre is known.
-    pub(super) fn is_known(&self, now: Timestamp) -> bool {
-        self.recent(now).next().is_some()
-    }
-
-    /// Returns the requests that the other entries have in flight at a backend server.
-    pub(super) fn of_others(&self, now: Timestamp, backend: &id::Backend) -> u32 {
-        let total: u32 = self
-            .recent(now)
-            .filter_map(|total| total.get(backend))
+    /// Returns the requests that the other entries have in flight at a backend server. They are
+    /// unknown without a recent sum of its own data centre, whose entries send it the most.
+    pub(super) fn of_others(
+        &self,
+        now: Timestamp,
+        backend: &id::Backend,
+        data_centre: &id::DataCentre,
+    ) -> Option<u32> {
+        let is_recent = |at: Timestamp| now.saturating_sub(at) < MAX_SUM_AGE;
+        let (at, _) = self.by_data_centre.get(data_centre)?;
+        if !is_recent(*at) {
+            return None;
+        }
+        let totals = self.by_data_centre.values();
+        let total: u32 = totals
+            .filter(|(at, _)| is_recent(*at))
+            .filter_map(|(_, total)| total.get(backend))
             .sum();
         let own = self.reported.get(backend).copied().unwrap_or_default();
-        total.saturating_sub(own)
-    }
-
-    fn recent(&self, now: Timestamp) -> impl Iterator<Item = &Map<id::Backend, u32>> {
-        let totals = self.by_data_centre.values();
-        totals
-            .filter(move |(at, _)| now.saturating_sub(*at) < MAX_AGE)
-            .map(|(_, total)| total)
+        Some(total.saturating_sub(own))
     }
 }
--- a/crates/celerycove-route/tests/fleet.rs
+++ b/crates/celerycove-route/tests/fleet.rs
@@ -207,3 +207,33 @@
     let share = f64::from(fleet.moved) / f64::from(fleet.moved + fleet.followed);
     assert!(share < 0.02, "{share} of the turns moved");
 }
+
+/// Selects for many programs at an entry of data centre `a`, after the entry got a sum that tells that
+/// one engine of it is busy, and returns how many programs that engine gets.
+fn programs_at_busy_engine(sum_age: Duration, sum_of: &str) -> usize {
+    let mut servers = Servers::new("a".into());
+    servers.update(Timestamp::ZERO, &Arc::from("llm"), registrations());
+    let now = Duration::from_secs(50);
+    let busy: Arc<str> = "engine-0".into();
+    let counts = vec![(busy.clone(), SLOTS * 2)];
+    servers.merge_demand(now - sum_age, sum_of.into(), counts);
+    let programs = (0..500_u64).filter(|program| {
+        let request = Request {
+            affinity: affinity_hash(&format!("program-{program}")),
+            ..Request::default()
+        };
+        let selection = servers.select(now, "llm", &request).expect("an engine");
+        servers.record_outcome(now, "llm", &selection.backend, Outcome::Answered, None);
+        selection.backend == busy
+    });
+    programs.count()
+}
+
+#[test]
+fn the_last_sum_of_a_data_centre_is_used_until_another_instance_sends_one() {
+    assert_eq!(programs_at_busy_engine(Duration::ZERO, "a"), 0);
+    assert_eq!(programs_at_busy_engine(Duration::from_secs(2), "a"), 0);
+    // Without a sum, or with one of another data centre only, its load is unknown.
+    assert!(programs_at_busy_engine(Duration::from_secs(4), "a") > 5);
+    assert!(programs_at_busy_engine(Duration::ZERO, "b") > 5);
+}
