--- a/crates/celerycove-gateway/src/control.rs
+++ b/crates/celerycove-gateway/src/control.rs
@@ -46,6 +46,9 @@
 /// An instance has no contact with a majority if, as the leader, a quorum last confirmed it longer
 /// ago than this or, as a follower, it last heard from the leader longer ago.
 const QUORUM_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// How long the leader may take to reply to a request that this instance passes on; shorter than an
+/// entry waits for leases.
+const RELAY_TIMEOUT: Duration = Duration::from_millis(200);
 /// A leader leases no tokens if a quorum last confirmed it longer ago than this: a few heartbeats.
 const LEASING_TIMEOUT: Duration = Duration::from_millis(300);
 /// Entries of the control log between snapshots.
@@ -424,6 +427,18 @@
         });
     }
 
+    /// Passes a request for leases on to the leader, for an entry that can't reach it.
+    async fn relay(&self, request: RpcRequest) -> Reply {
+        let leader = self.leader();
+        let is_lease = matches!(request, RpcRequest::Loans(_));
+        let Some(leader) = leader.filter(|leader| is_lease && *leader != self.setup.process())
+        else {
+            return Reply::NotLeader(self.leader());
+        };
+        let reply = self.connections.request(&leader, request, RELAY_TIMEOUT);
+        reply.await.unwrap_or(Reply::Unknown)
+    }
+
     async fn handle_request(&self, request: RpcRequest) -> Reply {
         match request {
             RpcRequest::Commit(command) => self.commit_locally(command).await,
@@ -432,6 +447,7 @@
                 Some(leases) => Reply::Loans(leases),
                 None => Reply::NotLeader(self.leader()),
             },
+            RpcRequest::Relay(request) => self.relay(*request).await,
             RpcRequest::Turns(_) | RpcRequest::IsMember(_) => Reply::NotLeader(None),
         }
     }
--- a/crates/celerycove-gateway/src/entry.rs
+++ b/crates/celerycove-gateway/src/entry.rs
@@ -1,6 +1,7 @@
 //! An entry instance: a proxy that forwards callers' requests to backend servers.
 
 mod chains;
+mod detour;
 mod events;
 mod exchange;
 mod hop;
--- a/crates/celerycove-gateway/src/entry/outage_tests.rs
+++ b/crates/celerycove-gateway/src/entry/outage_tests.rs
@@ -62,7 +62,8 @@
         let waited = outcomes.refused.iter().map(|(waited, _)| *waited);
         assert!(waited.clone().max() <= Some(REPLACEMENT_TIME));
         let at_once = waited.filter(Duration::is_zero).count();
-        let late = (length - REPLACEMENT_TIME).as_millis() / ARRIVAL_INTERVAL.as_millis();
+        let late =
+            length.saturating_sub(REPLACEMENT_TIME).as_millis() / ARRIVAL_INTERVAL.as_millis();
         assert_eq!(at_once as u128, late);
         assert!(outcomes.served.iter().all(Duration::is_zero));
     }
--- a/crates/celerycove-gateway/src/entry/rate_limit.rs
+++ b/crates/celerycove-gateway/src/entry/rate_limit.rs
@@ -19,11 +19,15 @@
 use celerycove_types::{Map, Timestamp, id};
 use tokio::sync::Notify;
 
-use super::Entry;
+use super::{
+    Entry,
+    detour::{Detour, Target},
+};
 use crate::{
     clock,
     link::lock,
     message::{Reply, RpcRequest},
+    setup::Role,
 };
 
 /// How often expired leases are returned to the owner.
@@ -377,6 +381,7 @@
     /// Requests and returns leases of tokens until the process ends.
     pub(super) async fn maintain_leases(&self) {
         let mut reached = true;
+        let mut detour = Detour::default();
         loop {
             let lease_needed = self.rate_limiter.lease_needed.notified();
             // Leases are checked both on request and periodically.
@@ -390,18 +395,7 @@
                 }
                 continue;
             }
-            let reply = match self.fleet_state.leader() {
-                Some(leader) => self
-                    .connections
-                    .request(&leader, RpcRequest::Loans(requests), OWNER_TIMEOUT)
-                    .await
-                    .ok(),
-                None => None,
-            };
-            let leases = match reply {
-                Some(Reply::Loans(leases)) => Some(leases),
-                _ => None,
-            };
+            let leases = self.request_leases(&mut detour, requests).await;
             if leases.is_some() != reached {
                 reached = leases.is_some();
                 log::info!(target: "limit", reached; "reachability of the rate limit owner changed");
@@ -414,6 +408,34 @@
             }
         }
     }
+
+    /// Requests leases from the owner, through a control instance of this data centre if the owner
+    /// did not reply lately.
+    async fn request_leases(
+        &self,
+        detour: &mut Detour,
+        requests: Vec<LeaseRequest>,
+    ) -> Option<Vec<Lease>> {
+        let leader = self.fleet_state.leader()?;
+        let controls = self.fleet_state.peers(Role::Control).into_iter();
+        let nearby = controls.filter(|status| status.peer.data_centre == self.setup.data_centre);
+        let nearby: Vec<_> = nearby.map(|status| status.peer.process).collect();
+        let attempt = rand::random_range(0..nearby.len().max(1));
+        let request = RpcRequest::Loans(requests);
+        let target = detour.target(clock::now(), Some(&leader), &nearby, attempt)?;
+        let (peer, request) = match &target {
+            Target::Direct(peer) => (peer, request),
+            Target::Via(peer) => (peer, RpcRequest::Relay(Box::new(request))),
+        };
+        let reply = self.connections.request(peer, request, OWNER_TIMEOUT).await;
+        if reply.is_err() && matches!(target, Target::Direct(_)) {
+            detour.avoid(clock::now(), &leader);
+        }
+        match reply {
+            Ok(Reply::Loans(leases)) => Some(leases),
+            _ => None,
+        }
+    }
 }
 
 #[cfg(test)]
--- a/crates/celerycove-gateway/src/entry/refuse.rs
+++ b/crates/celerycove-gateway/src/entry/refuse.rs
@@ -86,8 +86,7 @@
     /// Returns the delay after which the caller may retry, if a retry makes sense.
     fn retry_after(self) -> Option<Duration> {
         match self {
-            Self::OverRate(delay) => Some(delay.max(RETRY_AFTER_FULL)),
-            Self::NoStore(delay) => Some(delay.max(RETRY_AFTER_FULL)),
+            Self::OverRate(delay) | Self::NoStore(delay) => Some(delay.max(RETRY_AFTER_FULL)),
             Self::NotReady | Self::NoServer => Some(RETRY_AFTER_UNAVAILABLE),
             Self::Declined => Some(RETRY_AFTER_FULL),
             _ => None,
--- a/crates/celerycove-gateway/src/entry/turns.rs
+++ b/crates/celerycove-gateway/src/entry/turns.rs
@@ -18,6 +18,7 @@
 
 use super::{
     chains::{Cache, Chain},
+    detour::{Detour, Target},
     outage::Outage,
 };
 use crate::{
@@ -54,6 +55,7 @@
     /// All stores that are known.
     known: Vec<id::Process>,
     leader: Option<id::Process>,
+    detour: Detour,
 }
 
 /// Sends commands to the stores and caches the chains of turns that pass through this entry.
@@ -266,16 +268,22 @@
     /// Sends commands once, to the leader or, if none is known, to the store whose turn it is at
     /// this attempt.
     async fn send_commands(&self, attempt: usize, commands: Vec<Command>) -> Sent {
-        let Some(store) = self.next_store(attempt) else {
+        let Some(target) = self.next_target(attempt) else {
             self.record_failure();
             return Sent::Failed;
         };
         let count = commands.len();
         let request = RpcRequest::Turns(commands);
+        let (store, request, is_direct) = match target {
+            Target::Direct(store) => (store, request, true),
+            Target::Via(store) => (store, RpcRequest::Relay(Box::new(request)), false),
+        };
         let reply = self.connections.request(&store, request, STORE_TIMEOUT);
         match reply.await {
             Ok(Reply::Turns(outcomes)) if outcomes.len() == count => {
-                lock(&self.stores).leader = Some(store);
+                if is_direct {
+                    lock(&self.stores).leader = Some(store);
+                }
                 let lasted = lock(&self.outage).record_success(clock::now());
                 if let Some(lasted) = lasted {
                     log::info!(target: "turn", lasted_ms = clock::millis(lasted);
@@ -286,7 +294,7 @@
             Ok(Reply::NotLeader(leader)) => {
                 let new_leader = leader.filter(|leader| *leader != store);
                 let leader_known = new_leader.is_some();
-                self.update_leader(&store, new_leader);
+                self.update_leader(&store, is_direct, new_leader);
                 if leader_known {
                     Sent::Redirected
                 } else {
@@ -295,13 +303,25 @@
                 }
             }
             Ok(_) | Err(_) => {
-                self.update_leader(&store, None);
+                if is_direct {
+                    self.avoid_leader(&store);
+                }
                 self.record_failure();
                 Sent::Failed
             }
         }
     }
 
+    /// Avoids a store that did not reply, if it is the known leader. Another store may reach it, or
+    /// names its successor.
+    fn avoid_leader(&self, store: &id::Process) {
+        let mut stores = lock(&self.stores);
+        if stores.leader.as_ref() == Some(store) {
+            log::info!(target: "turn", leader:% = store; "asking for the leader through other stores");
+            stores.detour.avoid(clock::now(), store);
+        }
+    }
+
     fn record_failure(&self) {
         if lock(&self.outage).record_failure(clock::now()) {
             log::warn!(target: "turn", "the stores are out of reach");
@@ -322,19 +342,17 @@
         }
     }
 
-    /// Returns the store that leads, or the known stores in rotation if no leader is known.
-    fn next_store(&self, attempt: usize) -> Option<id::Process> {
+    fn next_target(&self, attempt: usize) -> Option<Target> {
         let stores = lock(&self.stores);
-        if let Some(leader) = &stores.leader {
-            return Some(leader.clone());
-        }
-        let count = stores.known.len();
-        (count > 0).then(|| stores.known[attempt % count].clone())
+        let (leader, known) = (stores.leader.as_ref(), &stores.known);
+        stores.detour.target(clock::now(), leader, known, attempt)
     }
 
-    fn update_leader(&self, contacted: &id::Process, leader: Option<id::Process>) {
+    /// Replaces the known leader after a store named another one or none, unless a store that was not
+    /// taken for the leader contradicts the known one.
+    fn update_leader(&self, contacted: &id::Process, is_direct: bool, leader: Option<id::Process>) {
         let mut stores = lock(&self.stores);
-        if stores.leader.is_none() || stores.leader.as_ref() == Some(contacted) {
+        if !is_direct || stores.leader.is_none() || stores.leader.as_ref() == Some(contacted) {
             if stores.leader != leader {
                 log::info!(target: "turn", asked:% = contacted, leader:? = leader;
                     "switching to another store");
--- a/crates/celerycove-gateway/src/http.rs
+++ b/crates/celerycove-gateway/src/http.rs
@@ -214,7 +214,7 @@
     Incomplete,
 }
 
-/// Reads a whole body of at most `limit` bytes within [`BODY_TIMEOUT`].
+/// Reads a whole body of at most `limit` bytes within ten seconds.
 ///
 /// # Errors
 ///
--- a/crates/celerycove-gateway/src/message.rs
+++ b/crates/celerycove-gateway/src/message.rs
@@ -79,6 +79,8 @@
     Commit(celerycove_fleet::Command),
     /// Reads the newest state; handled by the control leader.
     Read,
+    /// Passes the request on to the leader of the receiver's log, for a sender that can't reach it.
+    Relay(Box<RpcRequest>),
     /// Checks whether a store is still a member; handled by any member of the stores' log.
     IsMember(id::Process),
 }
--- a/crates/celerycove-gateway/src/store.rs
+++ b/crates/celerycove-gateway/src/store.rs
@@ -27,6 +27,9 @@
 const SNAPSHOT_AFTER_ENTRIES: u64 = 30_000;
 /// How long a batch of commands may take to commit before its outcome counts as unknown.
 const COMMIT_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// How long the leader may take to reply to a request that this store passes on; shorter than an
+/// entry waits for a store.
+const RELAY_TIMEOUT: Duration = Duration::from_millis(500);
 /// How often the store opens its log or, on the leader, checks the members of the log.
 const ROUND_INTERVAL: Duration = Duration::from_millis(400);
 /// A new leader changes no members for this long, until it has heard from the other stores.
@@ -185,6 +188,7 @@
         match request {
             RpcRequest::Turns(_) if !status.is_leader => Reply::NotLeader(status.leader.clone()),
             RpcRequest::Turns(commands) => commit(replica, commands).await,
+            RpcRequest::Relay(request) => self.relay(status.leader.as_ref(), *request).await,
             RpcRequest::IsMember(store) => {
                 Reply::Member(status.members.contains(&store), status.members.len())
             }
@@ -192,6 +196,15 @@
         }
     }
 
+    /// Passes a request on to the leader for an entry that can't reach it.
+    async fn relay(&self, leader: Option<&id::Process>, request: RpcRequest) -> Reply {
+        let Some(leader) = leader.filter(|leader| **leader != self.setup.process()) else {
+            return Reply::NotLeader(leader.cloned());
+        };
+        let reply = self.connections.request(leader, request, RELAY_TIMEOUT);
+        reply.await.unwrap_or(Reply::Unknown)
+    }
+
     /// Handles a request in a task of its own and sends the reply.
     fn spawn_reply(&self, number: SequenceNumber, request: RpcRequest, sender: &Sender) {
         let Some(this) = self.weak_self.upgrade() else {
--- a/crates/celerycove-gateway/tests/listeners.rs
+++ b/crates/celerycove-gateway/tests/listeners.rs
@@ -140,7 +140,7 @@
         peer.write_all(&20_000_000_u32.to_be_bytes())
             .await
             .expect("sent");
-        let _ = peer.write_all(&[0x91; 64_000]).await;
+        let _ = peer.write_all(&vec![0x91; 64_000]).await;
         let closed = async { while matches!(peer.read(&mut [0; 64]).await, Ok(1..)) {} };
         let closed = tokio::time::timeout(Duration::from_secs(5), closed).await;
         closed.expect("the connection is closed");
--- a/crates/celerycove-route/tests/fleet.rs
+++ b/crates/celerycove-route/tests/fleet.rs
@@ -216,7 +216,7 @@
     let now = Duration::from_secs(50);
     let busy: Arc<str> = "engine-0".into();
     let counts = vec![(busy.clone(), SLOTS * 2)];
-    servers.merge_demand(now - sum_age, sum_of.into(), counts);
+    servers.merge_demand(now.saturating_sub(sum_age), sum_of.into(), counts);
     let programs = (0..500_u64).filter(|program| {
         let request = Request {
             affinity: affinity_hash(&format!("program-{program}")),
