test(gateway): slow and silent backend servers keep their running work

Cause: operators of similar systems saw slow streams cut and silent servers' work started again. Change: tests on real sockets: pauses of 0.9 s between the events of a stream that may be resumed, and a silence of 1.7 s in a kept turn.

--- a/crates/celerycove-gateway/tests/callers.rs
+++ b/crates/celerycove-gateway/tests/callers.rs
@@ -324,3 +324,27 @@
         }
     });
 }
+
+#[test]
+fn a_slow_but_sound_stream_is_neither_cut_nor_started_again() {
+    fleet::run(async |deployment: &Deployment| {
+        deployment.set_failures([Failure::PauseStream(900)]);
+        let reply = deployment.stream("s1", "/resumable/x").await;
+        assert!(reply.complete);
+        assert_eq!(reply.events(), ["1:one", "2:two", "3:three"]);
+        assert_eq!(deployment.executed_requests().len(), 1);
+    });
+}
+
+#[test]
+fn a_turn_whose_engine_is_silent_for_a_while_is_neither_given_up_nor_started_again() {
+    fleet::run(async |deployment: &Deployment| {
+        deployment.set_failures([Failure::PauseStream(1_700)]);
+        let reply = deployment.turn("t1", None, "hello", Some(100)).await;
+        assert!(reply.complete);
+        assert_eq!(reply.events().len(), 3);
+        assert_eq!(deployment.executed_requests().len(), 1);
+        let next = deployment.turn("t2", Some("t1"), "again", Some(100)).await;
+        assert_eq!(next.status, 200);
+    });
+}
--- a/crates/celerycove-gateway/tests/callers/backend.rs
+++ b/crates/celerycove-gateway/tests/callers/backend.rs
@@ -34,6 +34,8 @@
     StallStream,
     /// Sends one event of a stream and then a byte now and then that completes no event.
     TrickleStream,
+    /// Sends a whole stream with a pause of this many milliseconds before each event but the first.
+    PauseStream(u64),
     /// Sends events of a stream, or bytes of a plain response, until the connection is closed.
     EndlessBody,
     /// Sends header fields until the connection is closed.
@@ -259,6 +261,10 @@
                 }
                 return None;
             }
+            Some(Failure::PauseStream(pause_ms)) if index > 0 => {
+                tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+                write_chunk(stream, event).await?;
+            }
             Some(Failure::EndlessBody) => {
                 for number in 1_u64.. {
                     let event = format!("id: {number}\ndata: more\n\n");
