fix(gateway): ask the log's first members for a leader, and keep a detour that works

Change: stores that were the log's first members are tried first, a failure moves on to the next one and a success stays; leases go through any control instance.

--- a/crates/celerycove-gateway/src/entry.rs
+++ b/crates/celerycove-gateway/src/entry.rs
@@ -207,12 +207,15 @@
         if changes.view || has_heartbeats {
             self.update_servers();
         }
-        if has_peers {
+        if has_peers || changes.view {
             let controls = self.fleet_state.peers(Role::Control).into_iter();
             self.connect(controls.map(|status| status.peer.process).collect());
             let stores = self.fleet_state.peers(Role::Store).into_iter();
             let stores = stores.map(|status| status.peer.process).collect();
-            self.turns.set_stores(stores);
+            let view = self.fleet_state.view();
+            let first_members = view.map(|view| view.fleet.founders.clone());
+            self.turns
+                .set_stores(stores, &first_members.unwrap_or_default());
         }
         changes.request_view
     }
--- a/crates/celerycove-gateway/src/entry/detour.rs
+++ b/crates/celerycove-gateway/src/entry/detour.rs
@@ -17,30 +17,37 @@
     Via(id::Process),
 }
 
-/// The leader that lately did not reply.
+/// The leader that lately did not reply, and the instance to try next.
 #[derive(Debug, Default)]
 pub(super) struct Detour {
     avoided: Option<(id::Process, Timestamp)>,
+    /// Counts the failures, so that each is followed by a try at the next instance, and one that
+    /// works is kept.
+    failures: usize,
 }
 
 impl Detour {
+    /// Records that a request got no reply, or none that helps.
+    pub(super) fn record_failure(&mut self) {
+        self.failures += 1;
+    }
+
     /// Records that the leader did not reply to a request that was sent to it directly.
     pub(super) fn avoid(&mut self, now: Timestamp, leader: &id::Process) {
         self.avoided = Some((leader.clone(), now + DETOUR_TIME));
     }
 
-    /// Returns where to send a request. `known` are the instances that can pass it on, and `attempt`
-    /// chooses among them; without a known leader it chooses the one to ask for it.
+    /// Returns where to send a request. `known` are the instances that can pass it on or name a
+    /// leader, the most promising first.
     pub(super) fn target(
         &self,
         now: Timestamp,
         leader: Option<&id::Process>,
         known: &[id::Process],
-        attempt: usize,
     ) -> Option<Target> {
         let nth = |instances: Vec<&id::Process>| {
             let count = instances.len();
-            (count > 0).then(|| instances[attempt % count].clone())
+            (count > 0).then(|| instances[self.failures % count].clone())
         };
         let Some(leader) = leader else {
             return nth(known.iter().collect()).map(Target::Direct);
--- a/crates/celerycove-gateway/src/entry/detour_tests.rs
+++ b/crates/celerycove-gateway/src/entry/detour_tests.rs
@@ -13,17 +13,18 @@
 }
 
 #[test]
-fn a_leader_behind_a_cut_is_reached_through_each_of_the_others_in_turn() {
+fn a_leader_behind_a_cut_is_reached_through_each_of_the_others_until_one_works() {
     let known = names(&["a", "b", "c"]);
     let mut detour = Detour::default();
-    let target =
-        |detour: &Detour, now, attempt| detour.target(now, Some(&known[1]), &known, attempt);
-    assert_eq!(target(&detour, NOW, 0), Some(Target::Direct("b".into())));
+    let target = |detour: &Detour, now| detour.target(now, Some(&known[1]), &known);
+    assert_eq!(target(&detour, NOW), Some(Target::Direct("b".into())));
     detour.avoid(NOW, &known[1]);
-    assert_eq!(target(&detour, NOW, 0), Some(Target::Via("a".into())));
-    assert_eq!(target(&detour, NOW, 1), Some(Target::Via("c".into())));
+    assert_eq!(target(&detour, NOW), Some(Target::Via("a".into())));
+    assert_eq!(target(&detour, NOW), Some(Target::Via("a".into())));
+    detour.record_failure();
+    assert_eq!(target(&detour, NOW), Some(Target::Via("c".into())));
     let later = NOW + DETOUR_TIME;
-    assert_eq!(target(&detour, later, 1), Some(Target::Direct("b".into())));
+    assert_eq!(target(&detour, later), Some(Target::Direct("b".into())));
 }
 
 #[test]
@@ -31,18 +32,20 @@
     let known = names(&["a", "b", "c"]);
     let mut detour = Detour::default();
     detour.avoid(NOW, &known[1]);
-    let target = detour.target(NOW, Some(&known[2]), &known, 0);
+    let target = detour.target(NOW, Some(&known[2]), &known);
     assert_eq!(target, Some(Target::Direct("c".into())));
 }
 
 #[test]
 fn without_a_known_leader_the_instances_are_asked_in_turn() {
     let known = names(&["a", "b"]);
-    let detour = Detour::default();
-    let target = |attempt| detour.target(NOW, None, &known, attempt);
-    assert_eq!(target(2), Some(Target::Direct("a".into())));
-    assert_eq!(target(3), Some(Target::Direct("b".into())));
-    assert_eq!(detour.target(NOW, None, &[], 0), None);
+    let mut detour = Detour::default();
+    for name in ["a", "b", "a"] {
+        let target = detour.target(NOW, None, &known);
+        assert_eq!(target, Some(Target::Direct(name.into())));
+        detour.record_failure();
+    }
+    assert_eq!(detour.target(NOW, None, &[]), None);
 }
 
 #[test]
@@ -50,6 +53,6 @@
     let known = names(&["a"]);
     let mut detour = Detour::default();
     detour.avoid(NOW, &known[0]);
-    let target = detour.target(NOW, Some(&known[0]), &known, 0);
+    let target = detour.target(NOW, Some(&known[0]), &known);
     assert_eq!(target, Some(Target::Direct("a".into())));
 }
--- a/crates/celerycove-gateway/src/entry/rate_limit.rs
+++ b/crates/celerycove-gateway/src/entry/rate_limit.rs
@@ -409,8 +409,8 @@
         }
     }
 
-    /// Requests leases from the owner, through a control instance of this data centre if the owner
-    /// did not reply lately.
+    /// Requests leases from the owner, through another control instance if the owner did not reply
+    /// lately.
     async fn request_leases(
         &self,
         detour: &mut Detour,
@@ -418,11 +418,9 @@
     ) -> Option<Vec<Lease>> {
         let leader = self.fleet_state.leader()?;
         let controls = self.fleet_state.peers(Role::Control).into_iter();
-        let nearby = controls.filter(|status| status.peer.data_centre == self.setup.data_centre);
-        let nearby: Vec<_> = nearby.map(|status| status.peer.process).collect();
-        let attempt = rand::random_range(0..nearby.len().max(1));
+        let controls: Vec<_> = controls.map(|status| status.peer.process).collect();
         let request = RpcRequest::Loans(requests);
-        let target = detour.target(clock::now(), Some(&leader), &nearby, attempt)?;
+        let target = detour.target(clock::now(), Some(&leader), &controls)?;
         let (peer, request) = match &target {
             Target::Direct(peer) => (peer, request),
             Target::Via(peer) => (peer, RpcRequest::Relay(Box::new(request))),
@@ -431,10 +429,11 @@
         if reply.is_err() && matches!(target, Target::Direct(_)) {
             detour.avoid(clock::now(), &leader);
         }
-        match reply {
-            Ok(Reply::Loans(leases)) => Some(leases),
-            _ => None,
+        if let Ok(Reply::Loans(leases)) = reply {
+            return Some(leases);
         }
+        detour.record_failure();
+        None
     }
 }
 
--- a/crates/celerycove-gateway/src/entry/turns.rs
+++ b/crates/celerycove-gateway/src/entry/turns.rs
@@ -4,7 +4,7 @@
 //! program's budget; ending it settles the reservation.
 
 use std::{
-    collections::VecDeque,
+    collections::{BTreeSet, VecDeque},
     sync::{
         Arc, Mutex,
         atomic::{AtomicUsize, Ordering::Relaxed},
@@ -52,7 +52,8 @@
 
 #[derive(Default)]
 struct Stores {
-    /// All stores that are known.
+    /// All stores that are known, the first members of the log before the others: most stores stand
+    /// by and know no leader.
     known: Vec<id::Process>,
     leader: Option<id::Process>,
     detour: Detour,
@@ -95,11 +96,17 @@
         client
     }
 
-    /// Replaces the known stores and opens connections to them.
-    pub(super) fn set_stores(&self, known: Vec<id::Process>) {
+    /// Replaces the known stores, of which some were the first members of the log, and opens
+    /// connections to them.
+    pub(super) fn set_stores(
+        &self,
+        mut known: Vec<id::Process>,
+        first_members: &BTreeSet<id::Process>,
+    ) {
         for store in &known {
             self.connections.open(store);
         }
+        known.sort_by_key(|store| (!first_members.contains(store), store.clone()));
         lock(&self.stores).known = known;
     }
 
@@ -239,7 +246,6 @@
 
     /// Sends a batch until a store accepts it, or each command has expired or lost its caller.
     async fn send_batch(&self, mut batch: Vec<Pending>) {
-        let mut attempt = 0;
         loop {
             let now = clock::now();
             batch.retain(|pending| {
@@ -253,7 +259,7 @@
                 return;
             }
             let commands = batch.iter().map(|pending| pending.command.clone());
-            match self.send_commands(attempt, commands.collect()).await {
+            match self.send_commands(commands.collect()).await {
                 Sent::Outcomes(outcomes) => {
                     deliver_outcomes(batch, outcomes);
                     return;
@@ -261,14 +267,13 @@
                 Sent::Redirected => {}
                 Sent::Failed => tokio::time::sleep(RETRY_DELAY).await,
             }
-            attempt += 1;
         }
     }
 
-    /// Sends commands once, to the leader or, if none is known, to the store whose turn it is at
-    /// this attempt.
-    async fn send_commands(&self, attempt: usize, commands: Vec<Command>) -> Sent {
-        let Some(target) = self.next_target(attempt) else {
+    /// Sends commands once, to the leader or, if none is known or it is out of reach, to the store
+    /// that is to be tried next.
+    async fn send_commands(&self, commands: Vec<Command>) -> Sent {
+        let Some(target) = self.next_target() else {
             self.record_failure();
             return Sent::Failed;
         };
@@ -323,6 +328,7 @@
     }
 
     fn record_failure(&self) {
+        lock(&self.stores).detour.record_failure();
         if lock(&self.outage).record_failure(clock::now()) {
             log::warn!(target: "turn", "the stores are out of reach");
         }
@@ -331,21 +337,19 @@
     /// While the stores are out of reach, looks for a leader with batches that contain no command,
     /// since turns may be refused without being sent.
     async fn probe_stores(self: Arc<Self>) {
-        let mut attempt = 0;
         loop {
             tokio::time::sleep(PROBE_INTERVAL.mul_f64(0.5 + rand::random::<f64>())).await;
             let is_idle = self.batches_in_flight.load(Relaxed) == 0;
             if is_idle && lock(&self.outage).is_active() {
-                self.send_commands(attempt, Vec::new()).await;
-                attempt += 1;
+                self.send_commands(Vec::new()).await;
             }
         }
     }
 
-    fn next_target(&self, attempt: usize) -> Option<Target> {
+    fn next_target(&self) -> Option<Target> {
         let stores = lock(&self.stores);
         let (leader, known) = (stores.leader.as_ref(), &stores.known);
-        stores.detour.target(clock::now(), leader, known, attempt)
+        stores.detour.target(clock::now(), leader, known)
     }
 
     /// Replaces the known leader after a store named another one or none, unless a store that was not
