--- a/crates/celerycove-gateway/src/entry/rate_limit.rs
+++ b/crates/celerycove-gateway/src/entry/rate_limit.rs
@@ -409,8 +409,8 @@
         }
     }
 
-    /// Requests leases from the owner, through another control instance if the owner did not reply
-    /// lately.
+    /// Requests leases from the owner, through another control instance if there was no connection to
+    /// the owner lately.
     async fn request_leases(
         &self,
         detour: &mut Detour,
@@ -420,13 +420,13 @@
         let controls = self.fleet_state.peers(Role::Control).into_iter();
         let controls: Vec<_> = controls.map(|status| status.peer.process).collect();
         let request = RpcRequest::Loans(requests);
-        let target = detour.target(clock::now(), Some(&leader), &controls)?;
+        let target = detour.target(clock::now(), Some(&leader), &controls, &[])?;
         let (peer, request) = match &target {
             Target::Direct(peer) => (peer, request),
             Target::Via(peer) => (peer, RpcRequest::Relay(Box::new(request))),
         };
         let reply = self.connections.request(peer, request, OWNER_TIMEOUT).await;
-        if reply.is_err() && matches!(target, Target::Direct(_)) {
+        if reply.is_err() && !self.connections.is_connected(&leader) {
             detour.avoid(clock::now(), &leader);
         }
         if let Ok(Reply::Loans(leases)) = reply {
--- a/crates/celerycove-gateway/src/entry/turns.rs
+++ b/crates/celerycove-gateway/src/entry/turns.rs
@@ -52,9 +52,10 @@
 
 #[derive(Default)]
 struct Stores {
-    /// All stores that are known, the first members of the log before the others: most stores stand
-    /// by and know no leader.
-    known: Vec<id::Process>,
+    /// The known stores that were among the first members of the log, or have named a leader.
+    members: Vec<id::Process>,
+    /// The other known stores. Most stores stand by and know no leader.
+    others: Vec<id::Process>,
     leader: Option<id::Process>,
     detour: Detour,
 }
@@ -100,14 +101,18 @@
     /// connections to them.
     pub(super) fn set_stores(
         &self,
-        mut known: Vec<id::Process>,
+        known: Vec<id::Process>,
         first_members: &BTreeSet<id::Process>,
     ) {
         for store in &known {
             self.connections.open(store);
         }
-        known.sort_by_key(|store| (!first_members.contains(store), store.clone()));
-        lock(&self.stores).known = known;
+        let mut stores = lock(&self.stores);
+        let is_member =
+            |store: &id::Process| first_members.contains(store) || stores.members.contains(store);
+        let (members, others) = known.into_iter().partition(is_member);
+        stores.members = members;
+        stores.others = others;
     }
 
     /// Returns the chain that ends with a turn, if it is cached.
@@ -299,6 +304,9 @@
             Ok(Reply::NotLeader(leader)) => {
                 let new_leader = leader.filter(|leader| *leader != store);
                 let leader_known = new_leader.is_some();
+                if leader_known {
+                    self.add_member(&store);
+                }
                 self.update_leader(&store, is_direct, new_leader);
                 if leader_known {
                     Sent::Redirected
@@ -309,7 +317,7 @@
             }
             Ok(_) | Err(_) => {
                 if is_direct {
-                    self.avoid_leader(&store);
+                    self.leave_store(&store);
                 }
                 self.record_failure();
                 Sent::Failed
@@ -317,9 +325,22 @@
         }
     }
 
-    /// Avoids a store that did not reply, if it is the known leader. Another store may reach it, or
-    /// names its successor.
-    fn avoid_leader(&self, store: &id::Process) {
+    /// Records that a store takes part in the log.
+    fn add_member(&self, store: &id::Process) {
+        let mut stores = lock(&self.stores);
+        if !stores.members.contains(store) {
+            stores.others.retain(|other| other != store);
+            stores.members.push(store.clone());
+        }
+    }
+
+    /// Leaves a store that did not reply. If it is the known leader and there is no connection to it,
+    /// other stores may reach it; a leader that is only slow may have been replaced.
+    fn leave_store(&self, store: &id::Process) {
+        if self.connections.is_connected(store) {
+            self.update_leader(store, true, None);
+            return;
+        }
         let mut stores = lock(&self.stores);
         if stores.leader.as_ref() == Some(store) {
             log::info!(target: "turn", leader:% = store; "asking for the leader through other stores");
@@ -348,8 +369,9 @@
 
     fn next_target(&self) -> Option<Target> {
         let stores = lock(&self.stores);
-        let (leader, known) = (stores.leader.as_ref(), &stores.known);
-        stores.detour.target(clock::now(), leader, known)
+        let leader = stores.leader.as_ref();
+        let detour = &stores.detour;
+        detour.target(clock::now(), leader, &stores.members, &stores.others)
     }
 
     /// Replaces the known leader after a store named another one or none, unless a store that was not
--- a/crates/celerycove-gateway/src/link.rs
+++ b/crates/celerycove-gateway/src/link.rs
@@ -18,7 +18,7 @@
 };
 
 use bytes::{Bytes, BytesMut};
-use celerycove_types::{Map, id};
+use celerycove_types::{Map, Set, id};
 use futures_util::{SinkExt, StreamExt};
 use tokio::{
     net::TcpStream,
@@ -126,6 +126,8 @@
     local: Peer,
     handler: std::sync::OnceLock<Arc<dyn Handler>>,
     peers: Mutex<Map<id::Process, Sender>>,
+    /// The peers to which a connection is open now.
+    connected: Mutex<Set<id::Process>>,
     pending: Mutex<Pending>,
     next_request: AtomicU64,
 }
@@ -141,6 +143,7 @@
             local,
             handler: std::sync::OnceLock::new(),
             peers: Mutex::default(),
+            connected: Mutex::default(),
             pending: Mutex::default(),
             next_request: AtomicU64::new(1),
         })
@@ -168,6 +171,11 @@
         tokio::spawn(outgoing::run(self.clone(), peer.clone(), frames));
     }
 
+    /// Whether a connection to the peer is open now.
+    pub fn is_connected(&self, peer: &id::Process) -> bool {
+        lock(&self.connected).contains(peer)
+    }
+
     /// Sends a frame to a peer, opening a connection if there is none.
     pub fn send(self: &Arc<Self>, peer: &id::Process, frame: &Frame) {
         if let Some(sender) = self.sender(peer) {
--- a/crates/celerycove-gateway/src/link/outgoing.rs
+++ b/crates/celerycove-gateway/src/link/outgoing.rs
@@ -23,7 +23,9 @@
         match connect(&peer).await {
             Ok(stream) => {
                 connected = true;
+                lock(&connections.connected).insert(peer.clone());
                 let cause = serve(&connections, &peer, stream, &mut queue).await;
+                lock(&connections.connected).remove(&peer);
                 connections.fail_pending(&peer);
                 log::warn!(target: "link", peer:% = peer, cause:% = cause; "connection lost");
                 if let Some(handler) = connections.handler.get() {
