perf(gateway): no work per heartbeat that grows with the square of the fleet

Each update with heartbeats rebuilt all registrations, matched each against all former ones, compared each address with all others, counted all entries for each backend server; the owner of the rates compared all entries with all connections at each request for leases. Change: indexes by address and by incarnation; a heartbeat that changes nothing else touches one backend server; entries are counted once; servers are found by binary search; the few compared for a request are found in one pass without sorting; only updates that somebody waits for are acknowledged.

--- a/crates/celerycove-fleet/src/registry.rs
+++ b/crates/celerycove-fleet/src/registry.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
-use celerycove_types::{Timestamp, id};
+use celerycove_types::{Map, Timestamp, id};
 use serde::{Deserialize, Serialize};
 
 use crate::config::ServiceName;
@@ -73,6 +73,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct Registry {
     by_backend: BTreeMap<id::Backend, Record>,
+    /// The backend servers that have or had an address: rarely more than one.
+    by_address: Map<SocketAddr, Vec<id::Backend>>,
 }
 
 impl Registry {
@@ -82,6 +84,10 @@
         if self.is_superseded(&heartbeat) {
             return Change::Outdated;
         }
+        let at_address = self.by_address.entry(heartbeat.address).or_default();
+        if !at_address.contains(&heartbeat.backend) {
+            at_address.push(heartbeat.backend.clone());
+        }
         let Some(known) = self.by_backend.get_mut(&heartbeat.backend) else {
             self.by_backend
                 .insert(heartbeat.backend.clone(), Record { heartbeat, sent_at });
@@ -132,7 +138,12 @@
 
     /// Returns whether a backend server with another id that started later has the same address.
     fn is_superseded(&self, heartbeat: &Heartbeat) -> bool {
-        self.by_backend.values().any(|known| {
+        let at_address = self.by_address.get(&heartbeat.address);
+        let mut at_address = at_address.into_iter().flatten();
+        at_address.any(|backend| {
+            let Some(known) = self.by_backend.get(backend) else {
+                return false;
+            };
             known.heartbeat.address == heartbeat.address
                 && known.heartbeat.backend != heartbeat.backend
                 && known.heartbeat.started_at_ms > heartbeat.started_at_ms
@@ -144,6 +155,11 @@
     pub fn remove_expired(&mut self, now: Timestamp) {
         self.by_backend
             .retain(|_, known| now.saturating_sub(known.sent_at) < RETENTION);
+        let by_backend = &self.by_backend;
+        self.by_address.retain(|_, backends| {
+            backends.retain(|backend| by_backend.contains_key(backend));
+            !backends.is_empty()
+        });
     }
 
     /// Returns the ready backend servers of a service, with the age of each one's last heartbeat.
--- a/crates/celerycove-gateway/src/broadcast.rs
+++ b/crates/celerycove-gateway/src/broadcast.rs
@@ -70,6 +70,8 @@
     pub request_view: bool,
     /// Heartbeats that must be passed on to other processes.
     pub beats: Vec<RelayedHeartbeat>,
+    /// Heartbeats that changed nothing but the time of the last one.
+    pub refreshed: Vec<RelayedHeartbeat>,
 }
 
 impl FleetState {
@@ -84,8 +86,10 @@
         changes.request_view = self.observe_index(now, update.index, update.has_quorum);
         for relayed in update.heartbeats {
             let change = self.merge_heartbeat(now, &relayed);
-            if change == Change::Update {
-                changes.beats.push(relayed);
+            match change {
+                Change::Update => changes.beats.push(relayed),
+                Change::Refreshed => changes.refreshed.push(relayed),
+                Change::Outdated => {}
             }
         }
         for status in update.peers.into_iter().flatten() {
@@ -294,21 +298,25 @@
     }
 
     /// Sends an update on one connection.
-    pub fn send_update(&self, sender: &Sender, mut update: Update) {
-        update.sequence = self.last_number.fetch_add(1, Relaxed) + 1;
+    pub fn send_update(&self, sender: &Sender, update: Update) {
         sender.send(&Frame::Update(Box::new(update)));
     }
 
-    /// Sends an update to all subscribers and returns its number.
-    pub fn publish(&self, update: Update) -> SequenceNumber {
-        self.publish_to(update, |_| true)
+    /// Sends an update to all subscribers.
+    pub fn publish(&self, update: Update) {
+        self.publish_to(update, |_| true);
     }
 
-    /// Sends an update to the subscribers selected by `filter` and returns its number.
-    pub fn publish_to(&self, mut update: Update, filter: impl Fn(&Peer) -> bool) -> SequenceNumber {
+    /// Sends an update to the subscribers selected by `filter`.
+    pub fn publish_to(&self, update: Update, filter: impl Fn(&Peer) -> bool) {
+        self.send_to(&Frame::Update(Box::new(update)), filter);
+    }
+
+    /// Sends an update that entries acknowledge to all subscribers, and returns its number.
+    pub fn publish_numbered(&self, mut update: Update) -> SequenceNumber {
         update.sequence = self.last_number.fetch_add(1, Relaxed) + 1;
         let number = update.sequence;
-        self.send_to(&Frame::Update(Box::new(update)), filter);
+        self.publish(update);
         number
     }
 
--- a/crates/celerycove-gateway/src/control.rs
+++ b/crates/celerycove-gateway/src/control.rs
@@ -21,7 +21,7 @@
 use celerycove_fleet::{Change, Command, Config, Fleet};
 use celerycove_limit::{Lease, Ownership, Request as LeaseRequest, fallback::reduced_entitlement};
 use celerycove_route::direct::{Report, demand::Collector};
-use celerycove_types::{Timestamp, id};
+use celerycove_types::{Set, Timestamp, id};
 use tokio::sync::watch;
 
 use crate::{
@@ -32,7 +32,8 @@
     http,
     link::{self, Connections, Handler, Sender, lock},
     message::{
-        Frame, Peer, RelayedHeartbeat, Reply, RpcRequest, SequenceNumber, Update, View, ViewUpdate,
+        Frame, Peer, RelayedHeartbeat, Reply, RpcRequest, SequenceNumber, UNNUMBERED, Update, View,
+        ViewUpdate,
     },
     replica::{Replica, options},
     setup::Role,
@@ -250,7 +251,7 @@
     /// An update that holds only the leader and whether there is a quorum.
     fn empty_update(&self) -> Update {
         Update {
-            sequence: 0,
+            sequence: UNNUMBERED,
             index: self.applied.load().0,
             view: None,
             heartbeats: Vec::new(),
@@ -375,12 +376,11 @@
         let applied = self.applied.load();
         let fleet = &applied.1;
         let connected = self.broadcaster.connected_peers();
-        let is_connected =
-            |entry: &id::Process| connected.iter().any(|peer| peer.process == *entry);
+        let connected: Set<_> = connected.iter().map(|peer| &peer.process).collect();
         let unreachable = fleet
             .entries
             .keys()
-            .filter(|entry| !is_connected(entry))
+            .filter(|entry| !connected.contains(entry))
             .count();
         let mut ownership = lock(&self.ownership);
         let ownership = ownership
--- a/crates/celerycove-gateway/src/control/api.rs
+++ b/crates/celerycove-gateway/src/control/api.rs
@@ -134,13 +134,15 @@
         let backend = relayed.beat.backend.clone();
         let mut update = self.empty_update();
         update.heartbeats = vec![relayed];
-        let number = self.broadcaster.publish(update);
-        if wait
-            && !self
-                .broadcaster
-                .wait_acknowledged(number, ACKNOWLEDGE_TIMEOUT)
-                .await
-        {
+        if !wait {
+            self.broadcaster.publish(update);
+            return;
+        }
+        let number = self.broadcaster.publish_numbered(update);
+        let acknowledged = self
+            .broadcaster
+            .wait_acknowledged(number, ACKNOWLEDGE_TIMEOUT);
+        if !acknowledged.await {
             log::warn!(target: "registry", backend:% = backend;
                 "not all entries have acknowledged that a backend server leaves");
         }
--- a/crates/celerycove-gateway/src/entry.rs
+++ b/crates/celerycove-gateway/src/entry.rs
@@ -15,6 +15,7 @@
 mod turns;
 
 use std::{
+    collections::BTreeMap,
     sync::{
         Arc, Mutex,
         atomic::{AtomicBool, Ordering::Relaxed},
@@ -35,7 +36,7 @@
     clock,
     http::{self, Body},
     link::{self, Connections, Handler, Sender, lock},
-    message::{Frame, Peer, Update},
+    message::{Frame, Peer, RelayedHeartbeat, UNNUMBERED, Update},
     metrics::Metrics,
     setup::Role,
 };
@@ -187,7 +188,6 @@
 
     /// Applies an update and returns whether to request the whole state from its sender.
     fn apply_update(&self, update: Update) -> bool {
-        let has_heartbeats = !update.heartbeats.is_empty();
         let has_peers = update.peers.is_some();
         let changes = self.fleet_state.merge(update);
         if changes.view
@@ -204,9 +204,10 @@
                 self.index.store(Some(Arc::new(Index::new(config.clone()))));
             }
         }
-        if changes.view || has_heartbeats {
+        if changes.view || !changes.beats.is_empty() {
             self.update_servers();
         }
+        self.refresh_servers(&changes.refreshed);
         if has_peers || changes.view {
             let controls = self.fleet_state.peers(Role::Control).into_iter();
             self.connect(controls.map(|status| status.peer.process).collect());
@@ -228,11 +229,12 @@
         let now = clock::now();
         let registry = self.fleet_state.registry();
         let mut servers = lock(&self.servers);
+        let entries = EntryCounts::new(&view.fleet);
         for service in &view.fleet.config.services {
             let registrations = registry
                 .ready(now, &service.name)
                 .filter(|(known, _)| !view.fleet.evacuated.contains(&known.heartbeat.data_centre))
-                .map(|(known, _)| self.registration(known, service, &view.fleet))
+                .map(|(known, _)| self.registration(known, service, &entries))
                 .collect();
             servers.update(now, &service.name, registrations);
         }
@@ -240,11 +242,28 @@
         servers.retain(|name| config.services.iter().any(|s| s.name.as_ref() == name));
     }
 
+    /// Records heartbeats that changed nothing else.
+    fn refresh_servers(&self, heartbeats: &[RelayedHeartbeat]) {
+        let now = clock::now();
+        let mut servers = lock(&self.servers);
+        for RelayedHeartbeat { beat, age } in heartbeats {
+            let sent_at = now.saturating_sub(*age);
+            let cold_until = sent_at + beat.cold_remaining;
+            servers.record_heartbeat(
+                &beat.service,
+                &beat.backend,
+                beat.started_at_ms,
+                sent_at,
+                cold_until,
+            );
+        }
+    }
+
     fn registration(
         &self,
         known: &Record,
         service: &celerycove_fleet::config::Service,
-        fleet: &Fleet,
+        entries: &EntryCounts<'_>,
     ) -> Registration {
         let heartbeat = &known.heartbeat;
         Registration {
@@ -259,7 +278,7 @@
             } else {
                 Timestamp::ZERO
             },
-            cold_rate: self.cold_rate(service.cold_rate, &heartbeat.data_centre, fleet),
+            cold_rate: self.cold_rate(service.cold_rate, &heartbeat.data_centre, entries),
             cache_tokens: service.cache_tokens,
         }
     }
@@ -305,15 +324,16 @@
     /// Returns this entry's share of the request rate that a cold backend server accepts. Only the
     /// entries in the backend server's data centre share the rate; if there are none, all entries
     /// do.
-    fn cold_rate(&self, total_rate: f64, data_centre: &id::DataCentre, fleet: &Fleet) -> f64 {
-        let local_entries = fleet.entries.values().filter(|at| *at == data_centre);
-        let local_entries = local_entries.count();
-        let (sharers, takes_share) = if local_entries > 0 {
-            (local_entries, self.setup.data_centre == *data_centre)
-        } else {
-            (fleet.entries.len().max(1), true)
+    fn cold_rate(
+        &self,
+        total_rate: f64,
+        data_centre: &id::DataCentre,
+        entries: &EntryCounts<'_>,
+    ) -> f64 {
+        let (sharers, takes_share) = match entries.by_data_centre.get(data_centre) {
+            Some(local) => (*local, self.setup.data_centre == *data_centre),
+            None => (entries.total.max(1), true),
         };
-        let sharers = u32::try_from(sharers).unwrap_or(u32::MAX);
         if takes_share {
             total_rate / f64::from(sharers)
         } else {
@@ -326,6 +346,25 @@
     }
 }
 
+/// How many entries there are.
+struct EntryCounts<'a> {
+    total: u32,
+    by_data_centre: BTreeMap<&'a id::DataCentre, u32>,
+}
+
+impl<'a> EntryCounts<'a> {
+    fn new(fleet: &'a Fleet) -> Self {
+        let mut by_data_centre = BTreeMap::new();
+        for data_centre in fleet.entries.values() {
+            *by_data_centre.entry(data_centre).or_default() += 1;
+        }
+        Self {
+            total: by_data_centre.values().sum(),
+            by_data_centre,
+        }
+    }
+}
+
 /// Handles messages from control instances.
 impl Handler for Entry {
     fn opened(&self, _peer: &id::Process, _hello: Option<&Peer>, _sender: &Sender) {}
@@ -337,7 +376,9 @@
                 if self.apply_update(*update) {
                     sender.send(&Frame::RequestView);
                 }
-                sender.send(&Frame::Acknowledge(number));
+                if number != UNNUMBERED {
+                    sender.send(&Frame::Acknowledge(number));
+                }
             }
             Frame::Evidence(reports) => {
                 let now = clock::now();
--- a/crates/celerycove-gateway/src/message.rs
+++ b/crates/celerycove-gateway/src/message.rs
@@ -14,6 +14,9 @@
 /// Matches a reply to its request, and an acknowledgement to its update.
 pub type SequenceNumber = u64;
 
+/// The number of an update that needs no acknowledgement.
+pub const UNNUMBERED: SequenceNumber = 0;
+
 /// Identifies a process to its peers; sent first on each connection.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Peer {
@@ -150,7 +153,7 @@
 /// What a control instance sends to other processes on each change and periodically.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Update {
-    /// Numbers the updates of one sender.
+    /// Numbers the updates of one sender that are to be acknowledged; [`UNNUMBERED`] for others.
     #[serde(rename = "number")]
     pub sequence: SequenceNumber,
     /// The index of the newest state that the sender has applied.
--- a/crates/celerycove-gateway/src/store.rs
+++ b/crates/celerycove-gateway/src/store.rs
@@ -263,12 +263,10 @@
             }
             Frame::Request(number, request) => self.spawn_reply(number, request, sender),
             Frame::Update(update) => {
-                let number = update.sequence;
                 let changes = self.fleet_state.merge(*update);
                 if changes.request_view {
                     sender.send(&Frame::RequestView);
                 }
-                sender.send(&Frame::Acknowledge(number));
                 for control in self.fleet_state.peers(Role::Control) {
                     self.connections.open(&control.peer.process);
                 }
--- a/crates/celerycove-route/src/direct.rs
+++ b/crates/celerycove-route/src/direct.rs
@@ -17,7 +17,7 @@
 
 use self::{
     demand::{Counts, Demand},
-    order::{candidates, considered, name_hash},
+    order::{Choices, choices, name_hash},
     shared::SharedParts,
 };
 use crate::prefix::{Cache, Part};
@@ -207,16 +207,17 @@
     /// Replaces the backend servers of a service; the state of an incarnation that remains is kept.
     pub fn update(&mut self, now: Timestamp, service: &Arc<str>, registrations: Vec<Registration>) {
         let servers = self.services.entry(service.clone()).or_default();
-        let mut previous = std::mem::take(servers);
+        let key =
+            |registration: &Registration| (registration.backend.clone(), registration.incarnation);
+        let mut previous: Map<_, _> = std::mem::take(servers)
+            .into_iter()
+            .map(|server| (key(&server.registration), server))
+            .collect();
         for registration in registrations {
-            let is_same = |s: &Server| {
-                s.registration.backend == registration.backend
-                    && s.registration.incarnation == registration.incarnation
-            };
-            let server = match previous.iter().position(is_same) {
-                Some(index) => Server {
+            let server = match previous.remove(&key(&registration)) {
+                Some(server) => Server {
                     registration,
-                    ..previous.swap_remove(index)
+                    ..server
                 },
                 None => Server::new(now, registration),
             };
@@ -225,6 +226,26 @@
         servers.sort_by(|a, b| a.registration.backend.cmp(&b.registration.backend));
     }
 
+    /// Records a heartbeat of a registered incarnation that changed nothing else.
+    pub fn record_heartbeat(
+        &mut self,
+        service: &str,
+        backend: &str,
+        incarnation: id::Incarnation,
+        sent_at: Timestamp,
+        cold_until: Timestamp,
+    ) {
+        let server = self.find(service, backend);
+        if let Some(server) = server.filter(|s| s.registration.incarnation == incarnation) {
+            let registration = &mut server.registration;
+            registration.last_heartbeat = sent_at;
+            // Without a cold start, or in a service without a limit on it, it stays as it is.
+            if registration.cold_until > Timestamp::ZERO {
+                registration.cold_until = cold_until;
+            }
+        }
+    }
+
     /// Removes the services for which `keep` returns false.
     pub fn retain(&mut self, keep: impl Fn(&str) -> bool) {
         self.services.retain(|service, _| keep(service));
@@ -240,8 +261,10 @@
     ) -> Option<Selection> {
         let shared_tokens = self.shared_parts.observe(request.affinity, request.prompt);
         let servers = self.services.get_mut(service)?;
-        let candidates = candidates(now, servers, request, &self.data_centre);
-        let considered = considered(servers, &candidates, request, &self.data_centre);
+        let Choices {
+            candidates,
+            considered,
+        } = choices(now, servers, request, &self.data_centre);
         let scores = considered.into_iter().map(|(index, rank)| {
             let server = &servers[index];
             let Registration {
@@ -259,7 +282,6 @@
             (server.is_suspect(now), delay, rank, index)
         });
         let (_, expected, _, index) = scores.min()?;
-        let candidates = candidates.len();
         let server = &mut servers[index];
         server.record_dispatch(now);
         let cached = server.prefix_cache.cached_tokens(request.prompt);
@@ -358,8 +380,9 @@
 
     fn find(&mut self, service: &str, backend: &str) -> Option<&mut Server> {
         let servers = self.services.get_mut(service)?;
-        let mut servers = servers.iter_mut();
-        servers.find(|server| server.registration.backend.as_ref() == backend)
+        let found =
+            servers.binary_search_by(|server| server.registration.backend.as_ref().cmp(backend));
+        found.ok().and_then(|index| servers.get_mut(index))
     }
 }
 
--- a/crates/celerycove-route/src/direct/order.rs
+++ b/crates/celerycove-route/src/direct/order.rs
@@ -12,54 +12,75 @@
 /// How many backend servers of other data centres are considered in a larger pool.
 const REMOTE_CHOICES: usize = 2;
 
-/// Returns the indexes of the backend servers that accept the request, in the order in which every
-/// entry of the data centre prefers them for its program.
-pub(super) fn candidates(
+/// The backend servers to compare for a request.
+pub(super) struct Choices {
+    /// How many backend servers accept the request.
+    pub(super) candidates: usize,
+    /// The indexes of those to compare, each with its rank in the program's order.
+    pub(super) considered: Vec<(usize, u32)>,
+}
+
+/// The place of a backend server in the order in which every entry of a data centre prefers them for a
+/// program: suspect ones last, then by weight.
+type Place = (bool, u64);
+
+/// Returns the backend servers to compare for a request: all of a small pool; of a large one, the first
+/// few of the order in the local data centre and in others, and those that this entry sent the
+/// program's history to.
+pub(super) fn choices(
     now: Timestamp,
     servers: &mut [Server],
     request: &Request<'_>,
     data_centre: &id::DataCentre,
-) -> Vec<usize> {
-    let mut accepting: Vec<_> = servers
-        .iter_mut()
-        .enumerate()
-        .filter_map(|(index, server)| {
-            let is_excluded = request.excluded.contains(&server.registration.backend);
-            let accepts = !is_excluded && server.accepts_request(now);
-            let is_remote = server.registration.data_centre != *data_centre;
-            let weight = rendezvous_weight(request.affinity, server.name_hash);
-            let order = (server.is_suspect(now), is_remote, u64::MAX - weight);
-            accepts.then_some((order, index))
-        })
-        .collect();
-    accepting.sort_unstable();
-    accepting.into_iter().map(|(_, index)| index).collect()
+) -> Choices {
+    let is_small = servers.len() <= SMALL_POOL;
+    let limits = if is_small {
+        [SMALL_POOL, SMALL_POOL]
+    } else {
+        [LOCAL_CHOICES, REMOTE_CHOICES]
+    };
+    let mut candidates = 0;
+    // The first ones of the local data centre and of others.
+    let mut first: [Vec<(Place, usize)>; 2] = [Vec::new(), Vec::new()];
+    let mut with_history = Vec::new();
+    for (index, server) in servers.iter_mut().enumerate() {
+        if request.excluded.contains(&server.registration.backend) || !server.accepts_request(now) {
+            continue;
+        }
+        candidates += 1;
+        let weight = rendezvous_weight(request.affinity, server.name_hash);
+        let place = (server.is_suspect(now), u64::MAX - weight);
+        let group = usize::from(server.registration.data_centre != *data_centre);
+        insert_first(&mut first[group], (place, index), limits[group]);
+        if !is_small && server.holds_history(request.prompt) {
+            with_history.push((index, rank(limits[group])));
+        }
+    }
+    let ranked = first.iter().flat_map(|group| {
+        let places = group.iter().enumerate();
+        places.map(|(place, (_, index))| (*index, rank(place.min(LOCAL_CHOICES))))
+    });
+    let mut considered: Vec<(usize, u32)> = ranked.collect();
+    with_history.retain(|(index, _)| considered.iter().all(|(other, _)| other != index));
+    considered.extend(with_history);
+    Choices {
+        candidates,
+        considered,
+    }
 }
 
-/// Returns the backend servers to compare for a request, with the rank of each: all of a small pool;
-/// of a large one, the first few of the order in the local data centre and in others, and those that
-/// this entry sent the program's history to.
-pub(super) fn considered(
-    servers: &[Server],
-    candidates: &[usize],
-    request: &Request<'_>,
-    data_centre: &id::DataCentre,
-) -> Vec<(usize, u32)> {
-    let is_small = candidates.len() <= SMALL_POOL;
-    let (mut local, mut remote) = (0, 0);
-    let ranked = candidates.iter().map(|index| {
-        let server = &servers[*index];
-        let (count, limit) = if server.registration.data_centre == *data_centre {
-            (&mut local, LOCAL_CHOICES)
-        } else {
-            (&mut remote, REMOTE_CHOICES)
-        };
-        let rank = *count;
-        *count += 1;
-        let is_chosen = is_small || rank < limit || server.holds_history(request.prompt);
-        is_chosen.then(|| (*index, u32::try_from(rank.min(limit)).unwrap_or(u32::MAX)))
-    });
-    ranked.flatten().collect()
+/// Inserts an item into a sorted list of at most `limit` items.
+fn insert_first<T: Ord>(list: &mut Vec<T>, item: T, limit: usize) {
+    if list.len() == limit && list.last().is_some_and(|last| *last < item) {
+        return;
+    }
+    let at = list.partition_point(|other| *other < item);
+    list.insert(at, item);
+    list.truncate(limit);
+}
+
+fn rank(place: usize) -> u32 {
+    u32::try_from(place).unwrap_or(u32::MAX)
 }
 
 /// Returns the rendezvous hashing weight of a backend server, which is equal at every entry.
