perf(gateway): publish changes of backend servers together, pass on only what must not be missed

Cause: every control instance passed every change on to all processes at once, so each process got each change from each instance: at 3,001 backend servers 30,000 messages to each entry at the start. Change: changes reported within 20 ms are published together, before the backend server is answered; an instance passes on at once only that one leaves, and the rest with its next round (200 ms).

--- a/crates/celerycove-gateway/src/control.rs
+++ b/crates/celerycove-gateway/src/control.rs
@@ -18,11 +18,11 @@
 use arc_swap::ArcSwap;
 use celerycove_control::{Answer, State, log::Command as LogCommand};
 use celerycove_disk::Store;
-use celerycove_fleet::{Change, Command, Config, Fleet};
+use celerycove_fleet::{Change, Command, Config, Fleet, registry::Stage};
 use celerycove_limit::{Lease, Ownership, Request as LeaseRequest, fallback::reduced_entitlement};
 use celerycove_route::direct::{Report, demand::Collector};
 use celerycove_types::{Set, Timestamp, id};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use crate::{
     Dialect, Error, Setup,
@@ -44,6 +44,9 @@
 /// How long a command may take before its outcome counts as unknown; shorter than the second after
 /// which an operator tries another instance.
 const COMMIT_TIMEOUT: Duration = Duration::from_millis(900);
+/// How long changes of backend servers are collected before they are published, since many start or
+/// turn cold together.
+const BATCH_DELAY: Duration = Duration::from_millis(20);
 /// An instance has no contact with a majority if, as the leader, a quorum last confirmed it longer
 /// ago than this or, as a follower, it last heard from the leader longer ago.
 const QUORUM_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -75,6 +78,12 @@
     recent_heartbeats: Mutex<BTreeMap<id::Backend, Timestamp>>,
     /// Requests in flight of the entries of this data centre.
     demand: Mutex<Collector>,
+    /// Changes of backend servers that were reported here and wait for [`BATCH_DELAY`].
+    own_changes: Mutex<Vec<RelayedHeartbeat>>,
+    /// Notified when `own_changes` were published.
+    changes_published: Notify,
+    /// Changes that other control instances told, to be passed on with the next round.
+    relayed_changes: Mutex<Vec<RelayedHeartbeat>>,
     maintenance: Mutex<maintenance::State>,
     bootstrap: Mutex<bootstrap::Bootstrap>,
 }
@@ -118,6 +127,9 @@
         ownership: Mutex::default(),
         recent_heartbeats: Mutex::default(),
         demand: Mutex::default(),
+        own_changes: Mutex::default(),
+        changes_published: Notify::new(),
+        relayed_changes: Mutex::default(),
         maintenance: Mutex::default(),
         bootstrap: Mutex::new(bootstrap::Bootstrap::new(&setup)),
         setup,
@@ -278,6 +290,44 @@
         update
     }
 
+    /// Publishes a change of a backend server that was reported to this instance, together with those
+    /// that follow it shortly, and returns after that.
+    async fn publish_soon(&self, relayed: RelayedHeartbeat) {
+        let published = self.changes_published.notified();
+        let is_first = {
+            let mut changes = lock(&self.own_changes);
+            changes.push(relayed);
+            changes.len() == 1
+        };
+        if is_first && let Some(this) = self.weak_self.upgrade() {
+            tokio::spawn(async move {
+                tokio::time::sleep(BATCH_DELAY).await;
+                this.publish_changes(std::mem::take(&mut *lock(&this.own_changes)));
+                this.changes_published.notify_waiters();
+            });
+        }
+        published.await;
+    }
+
+    /// Passes on changes that another instance told. All processes that are connected to that instance
+    /// got them from it already; only what must not be missed, a backend server that leaves, is passed
+    /// on at once.
+    fn pass_on(&self, changes: Vec<RelayedHeartbeat>) {
+        let (leaving, others): (Vec<_>, Vec<_>) = changes
+            .into_iter()
+            .partition(|change| change.beat.stage != Stage::Ready);
+        self.publish_changes(leaving);
+        lock(&self.relayed_changes).extend(others);
+    }
+
+    fn publish_changes(&self, changes: Vec<RelayedHeartbeat>) {
+        if !changes.is_empty() {
+            let mut update = self.empty_update();
+            update.heartbeats = changes;
+            self.broadcaster.publish(update);
+        }
+    }
+
     fn known_peers(&self) -> Vec<crate::message::PeerStatus> {
         [Role::Control, Role::Entry, Role::Store]
             .into_iter()
@@ -478,11 +528,7 @@
                 if changes.request_view {
                     sender.send(&Frame::RequestView);
                 }
-                if !changes.beats.is_empty() {
-                    let mut update = self.empty_update();
-                    update.heartbeats = changes.beats;
-                    self.broadcaster.publish(update);
-                }
+                self.pass_on(changes.beats);
                 let controls = self.fleet_state.peers(Role::Control);
                 let controls: Vec<_> = controls.into_iter().map(|c| c.peer.process).collect();
                 self.connect(&controls);
--- a/crates/celerycove-gateway/src/control/api.rs
+++ b/crates/celerycove-gateway/src/control/api.rs
@@ -89,8 +89,8 @@
         }
     }
 
-    /// Records a heartbeat and publishes it at once if it changes the backend server's state; other
-    /// heartbeats are published with the next digest.
+    /// Records a heartbeat. One that changes the backend server's state is published at once if it
+    /// leaves and soon otherwise; other heartbeats are published with the next digest.
     async fn receive_heartbeat(&self, heartbeat: Heartbeat) -> Response<Body> {
         let is_leaving = heartbeat.stage != Stage::Ready;
         let backend = heartbeat.backend.clone();
@@ -107,7 +107,11 @@
             Change::Update => {
                 log_backend_change(&relayed.beat, relayed.age);
                 lock(&self.recent_heartbeats).insert(backend, now);
-                self.publish_heartbeat(relayed, is_leaving).await;
+                if is_leaving {
+                    self.publish_leaving(relayed).await;
+                } else {
+                    self.publish_soon(relayed).await;
+                }
             }
         }
         let mut response = http::json_response(StatusCode::OK, bytes::Bytes::from_static(b"{}"));
@@ -123,21 +127,17 @@
                 beat: heartbeat,
                 age: Duration::ZERO,
             };
-            self.publish_heartbeat(relayed, true).await;
+            self.publish_leaving(relayed).await;
         }
         http::json_response(StatusCode::OK, bytes::Bytes::from_static(b"{}"))
     }
 
-    /// Publishes a heartbeat. With `wait`, which is set if the backend server leaves, returns only
-    /// when all entries have acknowledged it or after [`ACKNOWLEDGE_TIMEOUT`].
-    async fn publish_heartbeat(&self, relayed: RelayedHeartbeat, wait: bool) {
+    /// Publishes that a backend server leaves. Returns when all entries have acknowledged it or after
+    /// [`ACKNOWLEDGE_TIMEOUT`].
+    async fn publish_leaving(&self, relayed: RelayedHeartbeat) {
         let backend = relayed.beat.backend.clone();
         let mut update = self.empty_update();
         update.heartbeats = vec![relayed];
-        if !wait {
-            self.broadcaster.publish(update);
-            return;
-        }
         let number = self.broadcaster.publish_numbered(update);
         let acknowledged = self
             .broadcaster
--- a/crates/celerycove-gateway/src/control/maintenance.rs
+++ b/crates/celerycove-gateway/src/control/maintenance.rs
@@ -59,6 +59,7 @@
             }
             self.publish_on_quorum_change();
             self.publish_demand(now);
+            self.publish_changes(std::mem::take(&mut *lock(&self.relayed_changes)));
             if now >= lock(&self.maintenance).last_digest_at + DIGEST_INTERVAL {
                 lock(&self.maintenance).last_digest_at = now;
                 self.publish_digest(now);
