test: thousands of heartbeats, and heartbeats that change nothing else

Cause: the registry's index by address and the short way of unchanged heartbeats had no tests of their own. Change: 3,000 addresses of which half are taken over; a heartbeat keeps an engine in use and its cold limit.

--- a/crates/celerycove-fleet/tests/fleet.rs
+++ b/crates/celerycove-fleet/tests/fleet.rs
@@ -177,3 +177,39 @@
     assert_eq!(late, Change::Outdated);
     assert_eq!(registry.ready(SECOND, "app").count(), 0);
 }
+
+/// Entries hear of thousands of backend servers; what one heartbeat costs must not grow with them.
+#[test]
+fn heartbeats_of_thousands_of_backend_servers_keep_their_addresses_apart() {
+    let mut registry = Registry::default();
+    let at = |number: u16, backend: String, started_at_ms| Heartbeat {
+        address: ([10, 0, 0, 1], number).into(),
+        ..heartbeat(&backend, started_at_ms, 1, Stage::Ready)
+    };
+    for number in 0..3_000 {
+        registry.merge(
+            SECOND,
+            Duration::ZERO,
+            at(number, format!("old-{number}"), 1),
+        );
+    }
+    // Every second address is taken over by another backend server.
+    for number in (0..3_000).step_by(2) {
+        registry.merge(
+            SECOND,
+            Duration::ZERO,
+            at(number, format!("new-{number}"), 2),
+        );
+    }
+    let ready: Vec<_> = registry.ready(SECOND, "app").collect();
+    assert_eq!(ready.len(), 3_000);
+    let is_new = |backend: &str| backend.starts_with("new");
+    let new = ready
+        .iter()
+        .filter(|(known, _)| is_new(&known.heartbeat.backend));
+    assert_eq!(new.count(), 1_500);
+    // What has expired no longer claims an address.
+    registry.remove_expired(SECOND * 600);
+    let late = registry.merge(SECOND * 600, Duration::ZERO, at(0, "old-0".to_owned(), 1));
+    assert_eq!(late, Change::Update);
+}
--- a/crates/celerycove-route/tests/fleet.rs
+++ b/crates/celerycove-route/tests/fleet.rs
@@ -237,3 +237,37 @@
     assert!(programs_at_busy_engine(Duration::from_secs(4), "a") > 5);
     assert!(programs_at_busy_engine(Duration::ZERO, "b") > 5);
 }
+
+#[test]
+fn a_heartbeat_that_changes_nothing_else_keeps_an_engine_in_use_and_its_cold_limit() {
+    let mut servers = Servers::new("a".into());
+    let mut registrations = registrations();
+    for registration in &mut registrations {
+        registration.last_heartbeat = Timestamp::ZERO;
+    }
+    // One engine is cold and may get nothing from this entry.
+    registrations[0].cold_until = Duration::from_mins(1);
+    let (cold, warm) = (registrations[0].clone(), registrations[5].clone());
+    servers.update(Timestamp::ZERO, &Arc::from("llm"), registrations);
+    let now = Duration::from_secs(30);
+    for engine in [&cold, &warm] {
+        let cold_until = now + Duration::from_secs(20);
+        servers.record_heartbeat("llm", &engine.backend, 1, now, cold_until);
+    }
+    // All others have been silent for long, so the warm engine gets every request.
+    for program in 0..50 {
+        let request = Request {
+            affinity: program,
+            ..Request::default()
+        };
+        let selection = servers.select(now, "llm", &request).expect("an engine");
+        assert!(selection.backend == warm.backend || selection.backend == cold.backend);
+        servers.record_outcome(now, "llm", &selection.backend, Outcome::Answered, None);
+    }
+    let request = Request {
+        excluded: std::slice::from_ref(&warm.backend),
+        ..Request::default()
+    };
+    let other = servers.select(now, "llm", &request).expect("an engine");
+    assert!(other.backend != cold.backend, "the cold engine is limited");
+}
