--- a/crates/celerycove-route/src/direct.rs
+++ b/crates/celerycove-route/src/direct.rs
@@ -49,7 +49,7 @@
 const EJECTION_SCORE: f64 = 1.4;
 /// A backend server that has been silent for this long is used only if no other is left.
 const MAX_SILENCE: Duration = Duration::from_secs(5);
-/// Delay by which a backend server must be better than the one before it in a program's order, so
+/// Delay by which a backend server must be better than its predecessor in a program's order, so
 /// that the program's turns find each other's prefixes.
 const RANK_DELAY: Duration = Duration::from_millis(10);
 /// Size of an engine's prefix cache where its configuration does not set one.
