feat(log): tell how large the log and its messages are

The log now counts the encoded size of its entries; its size is logged when it has doubled or halved, messages of 1 MiB and more are logged at most ten times a second, and a whole state with its size.

--- a/crates/celerycove-control/src/log.rs
+++ b/crates/celerycove-control/src/log.rs
@@ -1,7 +1,10 @@
 //! Commands and entries of the control log, and the entries kept in memory after the latest
 //! snapshot.
 
-use std::collections::{BTreeSet, VecDeque};
+use std::{
+    collections::{BTreeSet, VecDeque},
+    io,
+};
 
 use celerycove_config::Proposal;
 use celerycove_types::id;
@@ -47,35 +50,107 @@
     pub command: Command,
 }
 
+impl Entry {
+    /// The size of the entry on the disk in bytes, without the record's header. Its size in memory is
+    /// about the same: most of both is text.
+    #[must_use]
+    pub fn encoded_bytes(&self) -> u64 {
+        let mut counter = ByteCounter::default();
+        // Writing to a counter can't fail; an entry that can't be encoded halts the instance when it
+        // is appended to the storage.
+        let _ = rmp_serde::encode::write_named(&mut counter, self);
+        counter.0
+    }
+}
+
+/// Counts the bytes written to it.
+#[derive(Debug, Default)]
+struct ByteCounter(u64);
+
+impl io::Write for ByteCounter {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0 += bytes.len() as u64;
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// How much a [`Log`] holds in memory.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Usage {
+    /// The number of entries.
+    pub entries: usize,
+    /// The sum of their [`Entry::encoded_bytes`].
+    pub bytes: u64,
+}
+
 /// The entries after the latest snapshot.
 #[derive(Debug, Clone, Default)]
 pub struct Log {
     snapshot_index: Index,
     snapshot_term: Term,
-    entries: VecDeque<Entry>,
+    entries: VecDeque<Stored>,
+}
+
+/// An entry and its place in the sequence of all encoded entries.
+#[derive(Debug, Clone)]
+struct Stored {
+    entry: Entry,
+    /// Where the encoded entry ends, counted from the log's first entry since the start.
+    end: u64,
+    /// The size of the encoded entry.
+    bytes: u64,
 }
 
 impl Log {
     /// Creates a log that follows a snapshot of the entries up to `snapshot_index`.
     #[must_use]
     pub fn new(snapshot_index: Index, snapshot_term: Term, entries: Vec<Entry>) -> Self {
-        let entries = entries
-            .into_iter()
-            .filter(|e| e.index > snapshot_index)
-            .collect();
-        Self {
+        let mut log = Self {
             snapshot_index,
             snapshot_term,
-            entries,
+            entries: VecDeque::new(),
+        };
+        let after_snapshot = entries.into_iter().filter(|e| e.index > snapshot_index);
+        after_snapshot.for_each(|entry| log.push(entry));
+        log
+    }
+
+    fn push(&mut self, entry: Entry) {
+        let bytes = entry.encoded_bytes();
+        let end = self.entries.back().map_or(0, |last| last.end) + bytes;
+        self.entries.push_back(Stored { entry, end, bytes });
+    }
+
+    /// How much the log holds in memory.
+    #[must_use]
+    pub fn usage(&self) -> Usage {
+        Usage {
+            entries: self.entries.len(),
+            bytes: self.bytes_in(self.snapshot_index, self.last_index()),
         }
     }
 
+    /// The size in bytes of the entries after `previous` and up to `last` that are in memory.
+    #[must_use]
+    pub fn bytes_in(&self, previous: Index, last: Index) -> u64 {
+        let end_of = |index: Index| self.stored(index).map(|stored| stored.end);
+        let start = match self.entries.front() {
+            Some(first) => end_of(previous).unwrap_or(first.end - first.bytes),
+            None => return 0,
+        };
+        end_of(last).map_or(0, |end| end.saturating_sub(start))
+    }
+
     /// The position of the last entry.
     #[must_use]
     pub fn last_index(&self) -> Index {
         self.entries
             .back()
-            .map_or(self.snapshot_index, |entry| entry.index)
+            .map_or(self.snapshot_index, |last| last.entry.index)
     }
 
     /// The term of the last entry.
@@ -83,7 +158,7 @@
     pub fn last_term(&self) -> Term {
         self.entries
             .back()
-            .map_or(self.snapshot_term, |entry| entry.term)
+            .map_or(self.snapshot_term, |last| last.entry.term)
     }
 
     /// The position of the last entry that the snapshot includes.
@@ -104,6 +179,10 @@
     /// The entry at a position, if it is in memory.
     #[must_use]
     pub fn get(&self, index: Index) -> Option<&Entry> {
+        self.stored(index).map(|stored| &stored.entry)
+    }
+
+    fn stored(&self, index: Index) -> Option<&Stored> {
         let offset = index.checked_sub(self.snapshot_index + 1)?;
         self.entries.get(usize::try_from(offset).ok()?)
     }
@@ -119,7 +198,7 @@
 
     /// All entries in memory.
     pub fn iter(&self) -> impl Iterator<Item = &Entry> {
-        self.entries.iter()
+        self.entries.iter().map(|stored| &stored.entry)
     }
 
     /// Appends entries, truncating the log first where they overlap it.
@@ -128,7 +207,7 @@
             while self.last_index() >= entry.index && !self.entries.is_empty() {
                 self.entries.pop_back();
             }
-            self.entries.push_back(entry.clone());
+            self.push(entry.clone());
         }
     }
 
@@ -137,7 +216,7 @@
         while self
             .entries
             .front()
-            .is_some_and(|e| e.index <= snapshot_index)
+            .is_some_and(|first| first.entry.index <= snapshot_index)
         {
             self.entries.pop_front();
         }
--- a/crates/celerycove-control/src/node.rs
+++ b/crates/celerycove-control/src/node.rs
@@ -7,7 +7,7 @@
 use statig::blocking::{IntoStateMachineExt, StateMachine};
 
 use crate::{
-    log::{Command, Entry, Index, Members, Term},
+    log::{Command, Entry, Index, Members, Term, Usage},
     message::{Body, Message, Round},
     raft::Raft,
     role::{self, Input},
@@ -228,6 +228,12 @@
         entries.filter(move |entry| entry.index > index && entry.index <= commit)
     }
 
+    /// How much the log holds in memory.
+    #[must_use]
+    pub fn log_usage(&self) -> Usage {
+        self.machine.log.usage()
+    }
+
     /// The position up to which entries are applied.
     #[must_use]
     pub fn applied_index(&self) -> Index {
--- a/crates/celerycove-gateway/src/control.rs
+++ b/crates/celerycove-gateway/src/control.rs
@@ -537,7 +537,11 @@
             Frame::RequestView => {
                 let mut update = self.empty_update();
                 update.view = self.view().map(ViewUpdate::Whole);
-                self.broadcaster.send_update(sender, update);
+                if let Some(encoded) = link::encode(&Frame::Update(Box::new(update))) {
+                    log::info!(target: "spread", peer:% = peer, bytes = encoded.len();
+                        "sending the whole state");
+                    sender.send_encoded(encoded);
+                }
             }
             Frame::Evidence(reports) => self.forward_reports(peer, reports),
             Frame::InitialMembers(members) => self.bootstrap_log(&members),
--- a/crates/celerycove-gateway/src/link.rs
+++ b/crates/celerycove-gateway/src/link.rs
@@ -183,6 +183,13 @@
         }
     }
 
+    /// Sends an encoded frame like [`send`](Self::send).
+    pub fn send_encoded(self: &Arc<Self>, peer: &id::Process, frame: Bytes) {
+        if let Some(sender) = self.sender(peer) {
+            sender.send_encoded(frame);
+        }
+    }
+
     fn sender(self: &Arc<Self>, peer: &id::Process) -> Option<Sender> {
         self.open(peer);
         lock(&self.peers).get(peer).cloned()
--- a/crates/celerycove-gateway/src/replica.rs
+++ b/crates/celerycove-gateway/src/replica.rs
@@ -10,16 +10,18 @@
 use arc_swap::ArcSwap;
 use celerycove_control::{
     Action, Answer, Event, Message, Node, Options, State,
-    log::{Command, Members},
+    log::{Command, Members, Usage},
+    message::Body,
     node::Proposed,
     storage::{Error, Storage},
 };
+use celerycove_log::limit::{Admitted, Limit};
 use celerycove_types::{Timestamp, id};
 use tokio::sync::{mpsc, oneshot};
 
 use crate::{
     clock,
-    link::{Connections, lock},
+    link::{self, Connections, lock},
     message::Frame,
 };
 
@@ -30,6 +32,14 @@
 /// The most commands that are proposed together.
 const MAX_BATCH_COMMANDS: usize = 512;
 
+/// A message of at least this size is logged.
+const LARGE_MESSAGE_BYTES: usize = 1 << 20;
+/// The most lines a second about large messages.
+const LARGE_MESSAGE_LINES: u32 = 10;
+/// The log's size in memory is first logged at this size, and then whenever it has doubled or fallen
+/// to half.
+const LARGE_LOG_BYTES: u64 = 2 << 20;
+
 /// Returns the timing of a log. An election takes one to two election timeouts, so a lost leader is
 /// replaced within a third of the time in which acknowledgements are due. A snapshot replaces
 /// `snapshot_interval` entries.
@@ -69,6 +79,8 @@
     /// When the last message arrived from a quorum (on the leader) or from the leader (on a
     /// follower).
     pub heard_at: Option<Timestamp>,
+    /// How much the log holds in memory.
+    pub log: Usage,
     /// Whether the replica has stopped because its storage failed.
     pub halted: bool,
 }
@@ -111,6 +123,8 @@
             replica: replica.clone(),
             pending: Mutex::default(),
             last_token: 0,
+            large_messages: Limit::new(LARGE_MESSAGE_LINES),
+            logged_bytes: LARGE_LOG_BYTES / 2,
         };
         tokio::spawn(runner.run(queue));
         Ok(replica)
@@ -162,6 +176,9 @@
     /// Where to send the outcome of each pending proposal, by token.
     pending: Mutex<BTreeMap<u64, oneshot::Sender<Answer>>>,
     last_token: u64,
+    large_messages: Limit,
+    /// The size of the log when it was last logged.
+    logged_bytes: u64,
 }
 
 impl Runner {
@@ -232,9 +249,7 @@
         }
         for action in actions {
             match action {
-                Action::Send { to, message } => {
-                    self.connections.send(&to, &Frame::Log(Box::new(message)));
-                }
+                Action::Send { to, message } => self.send(&to, message),
                 Action::Answer { token, answer } => {
                     if let Some(sender) = lock(&self.pending).remove(&token) {
                         // The proposer may have stopped waiting.
@@ -251,6 +266,33 @@
         false
     }
 
+    fn send(&mut self, to: &id::Process, message: Message) {
+        let entries = match &message.body {
+            Body::Append { entries, .. } => entries.len(),
+            _ => 0,
+        };
+        let Some(encoded) = link::encode(&Frame::Log(Box::new(message))) else {
+            return;
+        };
+        if encoded.len() >= LARGE_MESSAGE_BYTES
+            && let Some(Admitted { held_back }) = self.large_messages.admit(clock::now())
+        {
+            log::info!(target: "log", to:% = to, entries, bytes = encoded.len(), held_back;
+                "sending a large message of the log");
+        }
+        self.connections.send_encoded(to, encoded);
+    }
+
+    /// Logs the size of the log when it has doubled or fallen to half since the last line.
+    fn log_size(&mut self, usage: Usage) {
+        let bytes = usage.bytes.max(LARGE_LOG_BYTES / 2);
+        if bytes >= self.logged_bytes * 2 || bytes <= self.logged_bytes / 2 {
+            log::info!(target: "log", entries = usage.entries, bytes = usage.bytes,
+                applied = self.node.applied_index(); "the log's size in memory changed");
+            self.logged_bytes = bytes;
+        }
+    }
+
     fn halt(&self) {
         lock(&self.pending).clear();
         self.replica.status.store(Arc::new(Status {
@@ -259,7 +301,9 @@
         }));
     }
 
-    fn publish_status(&self) {
+    fn publish_status(&mut self) {
+        let usage = self.node.log_usage();
+        self.log_size(usage);
         let now = clock::now();
         let time_of = |age: Option<Duration>| age.map(|age| now.saturating_sub(age));
         let before = self.replica.status.load();
@@ -282,6 +326,7 @@
             voters: self.node.voters(),
             confirmed_at: time_of(self.node.staleness(now)),
             heard_at: time_of(self.node.time_since_contact(now)),
+            log: usage,
             halted: false,
         }));
     }
