fix(log): bound what a log holds and sends in bytes

Cause: all bounds of the log counted entries, and an entry has no bound in bytes. - A message held up to 256 entries. Four copies were sent in 1.0 s, then the process ended. - The log kept up to 1,024 entries: 57 took 19 MB. It survives the exit, so that the next leader did the same. Whole states, the other suspect, were 0.12 MB each.

The largest log is 8 MiB in control and 32 MiB in stores.

--- a/crates/celerycove-control/src/log.rs
+++ b/crates/celerycove-control/src/log.rs
@@ -187,15 +187,24 @@
         self.entries.get(usize::try_from(offset).ok()?)
     }
 
-    /// Returns at most `limit` entries, starting at a position.
+    /// Returns the entries from a position on: at most `limit`, and after the first only as many as
+    /// fit in `max_bytes` together.
     #[must_use]
-    pub fn slice(&self, from: Index, limit: usize) -> Vec<Entry> {
+    pub fn slice(&self, from: Index, limit: usize, max_bytes: u64) -> Vec<Entry> {
+        let previous = from.saturating_sub(1);
         (from..=self.last_index())
             .take(limit)
+            .take_while(|index| *index == from || self.bytes_in(previous, *index) <= max_bytes)
             .filter_map(|index| self.get(index).cloned())
             .collect()
     }
 
+    /// Returns all entries after a position.
+    #[must_use]
+    pub fn entries_after(&self, index: Index) -> Vec<Entry> {
+        self.slice(index + 1, usize::MAX, u64::MAX)
+    }
+
     /// All entries in memory.
     pub fn iter(&self) -> impl Iterator<Item = &Entry> {
         self.entries.iter().map(|stored| &stored.entry)
--- a/crates/celerycove-control/src/node.rs
+++ b/crates/celerycove-control/src/node.rs
@@ -31,6 +31,8 @@
     pub election_timeout: Duration,
     /// The number of applied entries after which a snapshot replaces them.
     pub snapshot_interval: Index,
+    /// The most bytes of entries that the log holds, in memory and on the disk.
+    pub max_log_bytes: u64,
 }
 
 impl Default for Options {
@@ -39,6 +41,7 @@
             heartbeat_interval: Duration::from_millis(150),
             election_timeout: Duration::from_secs(1),
             snapshot_interval: 1024,
+            max_log_bytes: 16 << 20,
         }
     }
 }
--- a/crates/celerycove-control/src/raft.rs
+++ b/crates/celerycove-control/src/raft.rs
@@ -29,8 +29,11 @@
     pub(crate) acked_round: Round,
     pub(crate) last_sent_at: Timestamp,
     /// When a probe (entries from the presumed match point, or a snapshot chunk) was last sent.
-    /// Until the probe is answered or times out, no other entries are sent.
+    /// Until the probe is answered or known to be lost, no other entries are sent.
     pub(crate) probe_sent_at: Option<Timestamp>,
+    /// The round in which a probe was last sent. Connections keep the order of messages, so a probe
+    /// is lost if a later round is acknowledged before it is answered.
+    pub(crate) probe_round: Round,
     /// Progress of the snapshot transfer, if one is in progress.
     pub(crate) snapshot_position: Option<Position>,
     /// Replies to earlier rounds are ignored: the follower may have sent them before it lost its
@@ -39,6 +42,12 @@
 }
 
 impl Progress {
+    /// Records that a probe is sent in a round.
+    pub(crate) fn begin_probe(&mut self, now: Timestamp, round: Round) {
+        self.probe_sent_at = Some(now);
+        self.probe_round = round;
+    }
+
     /// Records the round that the follower acknowledged and whether it may vote.
     pub(crate) fn record_reply(&mut self, round: Round, voter: bool) {
         self.acked_round = self.acked_round.max(round);
@@ -264,10 +273,23 @@
         }
     }
 
-    /// Replaces the applied entries by a snapshot once there are enough of them.
+    /// Whether a snapshot is to replace the applied entries: there are enough of them, or they take up
+    /// half of the log's bytes; the other half is for entries that are not applied yet. While a
+    /// follower is being sent a snapshot, the entries that follow it are kept as long as possible.
+    fn is_compaction_due(&self) -> bool {
+        let start = self.log.snapshot_index();
+        let bytes = self.log.bytes_in(start, self.applied_index);
+        let max_bytes = match self.outgoing_snapshot {
+            Some(_) => self.options.max_log_bytes / 4 * 3,
+            None => self.options.max_log_bytes / 2,
+        };
+        let is_long = self.applied_index - start >= self.options.snapshot_interval;
+        is_long || (bytes > 0 && bytes >= max_bytes)
+    }
+
+    /// Replaces the applied entries by a snapshot once that is due.
     fn compact(&mut self) {
-        let since_snapshot = self.applied_index - self.log.snapshot_index();
-        if since_snapshot < self.options.snapshot_interval || self.fatal_error.is_some() {
+        if !self.is_compaction_due() || self.fatal_error.is_some() {
             return;
         }
         let Some(term) = self.log.term_at(self.applied_index) else {
@@ -281,7 +303,7 @@
             members: members.clone(),
             state: std::mem::take(&mut self.state),
         };
-        let tail = self.log.slice(self.applied_index + 1, usize::MAX);
+        let tail = self.log.entries_after(self.applied_index);
         let saved = self.storage.save_snapshot(&snapshot, &tail);
         self.state = snapshot.state;
         if let Err(error) = saved {
@@ -305,7 +327,7 @@
         }
         let log_matches = self.log.term_at(snapshot.index) == Some(snapshot.term);
         let tail = if log_matches {
-            self.log.slice(snapshot.index + 1, usize::MAX)
+            self.log.entries_after(snapshot.index)
         } else {
             Vec::new()
         };
--- a/crates/celerycove-control/src/replicate.rs
+++ b/crates/celerycove-control/src/replicate.rs
@@ -12,7 +12,13 @@
 
 /// The maximum number of entries in one message.
 const MAX_ENTRIES_PER_MESSAGE: usize = 256;
-/// The number of heartbeat intervals after which an unanswered probe is sent again.
+/// The maximum size of the entries in one message in bytes, unless a single one is larger. At
+/// 100 Mbit/s it takes 40 ms, half of a heartbeat interval.
+const MAX_MESSAGE_BYTES: u64 = 512 << 10;
+/// A follower is sent no further entries while those that it has not acknowledged take up this part
+/// of the largest log.
+const UNACKNOWLEDGED_DIVISOR: u64 = 8;
+/// The number of heartbeat intervals after which a probe that is lost is sent again.
 const PROBE_TIMEOUT_HEARTBEATS: u32 = 3;
 /// The maximum number of unacknowledged rounds whose start times a leader keeps.
 const MAX_PENDING_ROUNDS: usize = 64;
@@ -44,9 +50,19 @@
     }
 
     /// Appends the proposed commands and replicates them, refusing invalid changes of the members.
+    ///
+    /// Refuses all of them while the entries that are not committed take up a quarter of the largest
+    /// log, so that a leader without a majority keeps no more than that.
     pub(crate) fn propose(&mut self, proposed: Vec<Proposed>) {
         let mut commands = Vec::new();
+        let uncommitted = self.log.bytes_in(self.commit_index, self.log.last_index());
+        let is_full = uncommitted >= self.options.max_log_bytes / 4;
         for Proposed { token, command } in proposed {
+            if is_full {
+                let answer = Answer::Refused("too many entries are not committed yet");
+                self.actions.push(Action::Answer { token, answer });
+                continue;
+            }
             if let Command::Members(members) = &command
                 && !self.is_valid_member_change(members)
             {
@@ -122,6 +138,7 @@
                 acked_round: 0,
                 last_sent_at,
                 probe_sent_at: None,
+                probe_round: 0,
                 snapshot_position: None,
                 min_valid_round: 0,
             });
@@ -156,22 +173,29 @@
         };
         progress.last_sent_at = self.now;
         let probe_timeout = self.options.heartbeat_interval * PROBE_TIMEOUT_HEARTBEATS;
-        let awaits_probe_reply = progress
-            .probe_sent_at
-            .is_some_and(|sent_at| self.now < sent_at + probe_timeout);
+        // A probe that may still be on its way is not sent again: a link that takes long to transmit
+        // it would only take longer.
+        let awaits_probe_reply = progress.probe_sent_at.is_some_and(|sent_at| {
+            self.now < sent_at + probe_timeout || progress.acked_round <= progress.probe_round
+        });
         if progress.probe_sent_at.is_some() && !awaits_probe_reply {
-            progress.probe_sent_at = Some(self.now);
+            progress.begin_probe(self.now, self.round);
         }
         let is_probing = progress.probe_sent_at.is_some();
         let previous = progress.next_index - 1;
+        let unacknowledged = self.log.bytes_in(progress.match_index, previous);
+        let is_window_full =
+            unacknowledged >= self.options.max_log_bytes / UNACKNOWLEDGED_DIVISOR && !is_probing;
         let body = match self.log.term_at(previous) {
             Some(previous_term) => {
-                let limit = if awaits_probe_reply {
+                let limit = if awaits_probe_reply || is_window_full {
                     0
                 } else {
                     MAX_ENTRIES_PER_MESSAGE
                 };
-                let entries = self.log.slice(progress.next_index, limit);
+                let entries = self
+                    .log
+                    .slice(progress.next_index, limit, MAX_MESSAGE_BYTES);
                 if !is_probing {
                     // Pipelining keeps a slow link busy; a rejection resets `next_index`.
                     progress.next_index += entries.len() as Index;
@@ -187,7 +211,7 @@
             }
             None if awaits_probe_reply => self.keepalive_append(),
             None => {
-                progress.probe_sent_at = Some(self.now);
+                progress.begin_probe(self.now, self.round);
                 let Some(body) = self.next_install(peer) else {
                     return;
                 };
@@ -256,7 +280,6 @@
                     return;
                 }
                 progress.next_index = retry_index.min(progress.next_index);
-                progress.probe_sent_at = Some(self.now);
                 self.update_confirmed_round();
                 self.probe(from);
                 return;
@@ -281,7 +304,7 @@
         self.replicate_to(peer);
         if let Some(progress) = self.progress.get_mut(peer) {
             progress.next_index = probe_index;
-            progress.probe_sent_at = Some(self.now);
+            progress.begin_probe(self.now, self.round);
         }
     }
 
--- a/crates/celerycove-control/src/transfer.rs
+++ b/crates/celerycove-control/src/transfer.rs
@@ -137,7 +137,7 @@
             && position.offset != held
         {
             position.offset = held;
-            progress.probe_sent_at = Some(self.now);
+            progress.begin_probe(self.now, self.round);
             if let Some(body) = self.next_install(from) {
                 self.send(from, body);
             }
--- a/crates/celerycove-control/tests/replication.rs
+++ b/crates/celerycove-control/tests/replication.rs
@@ -77,6 +77,7 @@
         heartbeat_interval: Duration::from_millis(120),
         election_timeout: Duration::from_millis(550),
         snapshot_interval,
+        ..Options::default()
     };
     let bootstrap = bootstrap.then_some(members);
     let disk = Box::new(Disk::default());
--- a/crates/celerycove-gateway/src/control.rs
+++ b/crates/celerycove-gateway/src/control.rs
@@ -57,6 +57,9 @@
 const LEASING_TIMEOUT: Duration = Duration::from_millis(300);
 /// Entries of the control log between snapshots.
 const SNAPSHOT_AFTER_ENTRIES: u64 = 1_024;
+/// The most bytes of entries that the control log holds: a tenth of the memory of the smallest
+/// instance, and an eighth of its disk.
+const MAX_LOG_BYTES: u64 = 8 << 20;
 
 /// A control process.
 pub struct Control {
@@ -167,7 +170,7 @@
             initial_members.filter(|members| members.contains(&me)),
             storage,
             self.connections.clone(),
-            options(SNAPSHOT_AFTER_ENTRIES),
+            options(SNAPSHOT_AFTER_ENTRIES, MAX_LOG_BYTES),
             Box::new(move |state, index| control.apply(state, index)),
         )?;
         // Set only once: at the start, or later when the initial members are known.
--- a/crates/celerycove-gateway/src/replica.rs
+++ b/crates/celerycove-gateway/src/replica.rs
@@ -36,19 +36,22 @@
 const LARGE_MESSAGE_BYTES: usize = 1 << 20;
 /// The most lines a second about large messages.
 const LARGE_MESSAGE_LINES: u32 = 10;
+/// The most lines a second about refused commands.
+const REFUSAL_LINES: u32 = 5;
 /// The log's size in memory is first logged at this size, and then whenever it has doubled or fallen
 /// to half.
 const LARGE_LOG_BYTES: u64 = 2 << 20;
 
 /// Returns the timing of a log. An election takes one to two election timeouts, so a lost leader is
 /// replaced within a third of the time in which acknowledgements are due. A snapshot replaces
-/// `snapshot_interval` entries.
+/// `snapshot_interval` entries, or fewer if they would exceed `max_log_bytes`.
 #[must_use]
-pub fn options(snapshot_interval: u64) -> Options {
+pub fn options(snapshot_interval: u64, max_log_bytes: u64) -> Options {
     Options {
         heartbeat_interval: Duration::from_millis(80),
         election_timeout: Duration::from_millis(320),
         snapshot_interval,
+        max_log_bytes,
     }
 }
 
@@ -124,6 +127,7 @@
             pending: Mutex::default(),
             last_token: 0,
             large_messages: Limit::new(LARGE_MESSAGE_LINES),
+            refusals: Limit::new(REFUSAL_LINES),
             logged_bytes: LARGE_LOG_BYTES / 2,
         };
         tokio::spawn(runner.run(queue));
@@ -177,6 +181,7 @@
     pending: Mutex<BTreeMap<u64, oneshot::Sender<Answer>>>,
     last_token: u64,
     large_messages: Limit,
+    refusals: Limit,
     /// The size of the log when it was last logged.
     logged_bytes: u64,
 }
@@ -251,6 +256,7 @@
             match action {
                 Action::Send { to, message } => self.send(&to, message),
                 Action::Answer { token, answer } => {
+                    self.log_refusal(&answer);
                     if let Some(sender) = lock(&self.pending).remove(&token) {
                         // The proposer may have stopped waiting.
                         let _ = sender.send(answer);
@@ -283,6 +289,15 @@
         self.connections.send_encoded(to, encoded);
     }
 
+    /// Logs that a command was refused, which its proposer sees only as one that may not be committed.
+    fn log_refusal(&mut self, answer: &Answer) {
+        if let Answer::Refused(reason) = answer
+            && let Some(Admitted { held_back }) = self.refusals.admit(clock::now())
+        {
+            log::warn!(target: "log", reason, held_back; "refused a command");
+        }
+    }
+
     /// Logs the size of the log when it has doubled or fallen to half since the last line.
     fn log_size(&mut self, usage: Usage) {
         let bytes = usage.bytes.max(LARGE_LOG_BYTES / 2);
--- a/crates/celerycove-gateway/src/store.rs
+++ b/crates/celerycove-gateway/src/store.rs
@@ -25,6 +25,9 @@
 /// Entries of the stores' log between snapshots; each turn writes two. Writing a snapshot delays
 /// the log, and replaying the entries delays a start: about two seconds on a fifth of a core.
 const SNAPSHOT_AFTER_ENTRIES: u64 = 30_000;
+/// The most bytes of entries that the stores' log holds. Their texts are shared with the state until
+/// the turns expire, so most of them take no further memory.
+const MAX_LOG_BYTES: u64 = 32 << 20;
 /// How long a batch of commands may take to commit before its outcome counts as unknown.
 const COMMIT_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// How long the leader may take to reply to a request that this store passes on; shorter than an
@@ -100,7 +103,7 @@
             initial_members,
             Box::new(Disk::new(data)?),
             self.connections.clone(),
-            options(SNAPSHOT_AFTER_ENTRIES),
+            options(SNAPSHOT_AFTER_ENTRIES, MAX_LOG_BYTES),
             Box::new(|_, _| {}),
         )?;
         // Set only once: at the start, or later by the task that calls `run`.
--- a/crates/celerycove-proof/src/world/turns.rs
+++ b/crates/celerycove-proof/src/world/turns.rs
@@ -145,6 +145,12 @@
             heartbeat_interval: Duration::from_millis(60),
             election_timeout: Duration::from_millis(300),
             snapshot_interval: 20,
+            // Some instances compact after a few entries because of their size.
+            max_log_bytes: if node.is_multiple_of(2) {
+                2_000
+            } else {
+                16 << 20
+            },
         };
         let seed = self.net.random_below(usize::MAX) as u64;
         let storage = Box::new(self.disks[node].clone());
