--- a/crates/celerycove-control/src/node.rs
+++ b/crates/celerycove-control/src/node.rs
@@ -7,7 +7,7 @@
 use statig::blocking::{IntoStateMachineExt, StateMachine};
 
 use crate::{
-    log::{Command, Entry, Index, Members, Term},
+    log::{Command, Entry, Index, Members, Term, Usage},
     message::{Body, Message, Round},
     raft::Raft,
     role::{self, Input},
@@ -31,6 +31,8 @@
     pub election_timeout: Duration,
     /// The number of applied entries after which a snapshot replaces them.
     pub snapshot_interval: Index,
+    /// The most bytes of entries that the log holds, in memory and on the disk.
+    pub max_log_bytes: u64,
 }
 
 impl Default for Options {
@@ -39,6 +41,7 @@
             heartbeat_interval: Duration::from_millis(150),
             election_timeout: Duration::from_secs(1),
             snapshot_interval: 1024,
+            max_log_bytes: 16 << 20,
         }
     }
 }
@@ -228,6 +231,12 @@
         entries.filter(move |entry| entry.index > index && entry.index <= commit)
     }
 
+    /// How much the log holds in memory.
+    #[must_use]
+    pub fn log_usage(&self) -> Usage {
+        self.machine.log.usage()
+    }
+
     /// The position up to which entries are applied.
     #[must_use]
     pub fn applied_index(&self) -> Index {
--- a/crates/celerycove-gateway/src/control.rs
+++ b/crates/celerycove-gateway/src/control.rs
@@ -57,6 +57,9 @@
 const LEASING_TIMEOUT: Duration = Duration::from_millis(300);
 /// Entries of the control log between snapshots.
 const SNAPSHOT_AFTER_ENTRIES: u64 = 1_024;
+/// The most bytes of entries that the control log holds: a tenth of the memory of the smallest
+/// instance, and an eighth of its disk.
+const MAX_LOG_BYTES: u64 = 8 << 20;
 
 /// A control process.
 pub struct Control {
@@ -167,7 +170,7 @@
             initial_members.filter(|members| members.contains(&me)),
             storage,
             self.connections.clone(),
-            options(SNAPSHOT_AFTER_ENTRIES),
+            options(SNAPSHOT_AFTER_ENTRIES, MAX_LOG_BYTES),
             Box::new(move |state, index| control.apply(state, index)),
         )?;
         // Set only once: at the start, or later when the initial members are known.
@@ -537,7 +540,11 @@
             Frame::RequestView => {
                 let mut update = self.empty_update();
                 update.view = self.view().map(ViewUpdate::Whole);
-                self.broadcaster.send_update(sender, update);
+                if let Some(encoded) = link::encode(&Frame::Update(Box::new(update))) {
+                    log::info!(target: "spread", peer:% = peer, bytes = encoded.len();
+                        "sending the whole state");
+                    sender.send_encoded(encoded);
+                }
             }
             Frame::Evidence(reports) => self.forward_reports(peer, reports),
             Frame::InitialMembers(members) => self.bootstrap_log(&members),
