--- a/crates/celerycove-control/src/message.rs
+++ b/crates/celerycove-control/src/message.rs
@@ -83,7 +83,8 @@
         part: Bytes,
         /// The leader's current round.
         round: Round,
-        /// The latest round that a quorum of voters has acknowledged.
+        /// The latest round that a quorum of voters has acknowledged. Only receivers of an earlier
+        /// version use it.
         confirmed: Round,
     },
     /// Answers an `Install` that did not complete the snapshot.
--- a/crates/celerycove-control/src/replicate.rs
+++ b/crates/celerycove-control/src/replicate.rs
@@ -387,16 +387,11 @@
         self.reply(from, Some(matched), matched, round);
     }
 
-    /// Installs a completely received snapshot and acknowledges it.
-    pub(crate) fn accept_snapshot(
-        &mut self,
-        from: &id::Process,
-        snapshot: Snapshot,
-        (round, confirmed): (Round, Round),
-    ) {
+    /// Installs a completely received snapshot and acknowledges it. It gives no vote, as it tells
+    /// nothing of the entries that were committed since it was taken.
+    pub(crate) fn accept_snapshot(&mut self, from: &id::Process, snapshot: Snapshot, round: Round) {
         let index = snapshot.index;
         self.install_snapshot(snapshot);
-        self.try_become_voter(index, confirmed);
         let matched = self.commit_index.max(index);
         self.reply(from, Some(matched), matched, round);
     }
--- a/crates/celerycove-control/src/role.rs
+++ b/crates/celerycove-control/src/role.rs
@@ -198,10 +198,9 @@
                 offset,
                 part,
                 round,
-                confirmed,
+                ..
             } if is_current_term => {
-                let rounds = (*round, *confirmed);
-                self.handle_install(from, (*index, *total, *offset), part, rounds);
+                self.handle_install(from, (*index, *total, *offset), part, *round);
                 return Transition(State::follower());
             }
             // The sender's term is outdated; it learns the current one from the reply.
--- a/crates/celerycove-control/src/transfer.rs
+++ b/crates/celerycove-control/src/transfer.rs
@@ -151,7 +151,7 @@
         from: &id::Process,
         (index, total, offset): (Index, usize, usize),
         part: &Bytes,
-        (round, confirmed): (Round, Round),
+        round: Round,
     ) {
         self.follow_leader(from);
         self.record_first_round(round);
@@ -194,7 +194,7 @@
         // Frees the encoded form before the snapshot is saved.
         drop(incoming);
         match decoded {
-            Ok(snapshot) => self.accept_snapshot(from, snapshot, (round, confirmed)),
+            Ok(snapshot) => self.accept_snapshot(from, snapshot, round),
             Err(error) => self.fatal_error = Some(codec_error("decode a snapshot for", &error)),
         }
     }
--- a/crates/celerycove-control/tests/replication.rs
+++ b/crates/celerycove-control/tests/replication.rs
@@ -360,3 +360,24 @@
     cluster.run(400, 1_000);
     assert_eq!(cluster.kept_turns(wiped), Some(2_000));
 }
+
+/// Guards against an instance with an empty disk that votes once it has a snapshot, although entries
+/// were committed since the snapshot was taken: it could elect a leader that lacks them.
+#[test]
+fn a_snapshot_alone_gives_no_vote_if_entries_were_committed_since() {
+    let mut cluster = Cluster::with_snapshots(1_000);
+    let wiped = wipe_follower_behind_snapshot(&mut cluster);
+    let leader = cluster.leader();
+    cluster.run(20, 8);
+    cluster.propose(200);
+    let name = id::Process::from(NAMES[wiped]);
+    let has_vote = |cluster: &Cluster| {
+        let node = cluster.nodes[leader].as_ref().expect("a node");
+        node.voters().contains(&name)
+    };
+    while !has_vote(&cluster) {
+        cluster.run(1, 8);
+    }
+    assert_eq!(cluster.leader(), leader);
+    assert_eq!(cluster.last_fence(wiped), Some(200));
+}
