--- a/crates/celerycove-control/src/node.rs
+++ b/crates/celerycove-control/src/node.rs
@@ -237,6 +237,12 @@
         self.machine.log.usage()
     }
 
+    /// How many bytes of snapshots that are being sent or received are in memory.
+    #[must_use]
+    pub fn transfer_bytes(&self) -> usize {
+        self.machine.transfer_bytes()
+    }
+
     /// The position up to which entries are applied.
     #[must_use]
     pub fn applied_index(&self) -> Index {
--- a/crates/celerycove-control/src/raft.rs
+++ b/crates/celerycove-control/src/raft.rs
@@ -100,7 +100,7 @@
     /// The error that halts the instance: a failed write or a snapshot that can't be encoded or
     /// decoded.
     pub(crate) fatal_error: Option<Error>,
-    /// The encoded snapshot that is being sent to followers.
+    /// The snapshot that is being sent to followers.
     pub(crate) outgoing_snapshot: Option<Outgoing>,
     /// The partially received snapshot from the leader.
     pub(crate) incoming_snapshot: Option<Incoming>,
--- a/crates/celerycove-control/src/storage.rs
+++ b/crates/celerycove-control/src/storage.rs
@@ -1,5 +1,8 @@
 //! The durable storage that the control log requires.
 
+use std::fmt;
+
+use bytes::{Bytes, BytesMut};
 use celerycove_types::id;
 use serde::{Deserialize, Serialize};
 
@@ -54,6 +57,17 @@
     pub cause: String,
 }
 
+impl Error {
+    /// Creates an error of a failed operation.
+    #[must_use]
+    pub fn of(operation: &'static str, cause: &dyn std::error::Error) -> Self {
+        Self {
+            operation,
+            cause: cause.to_string(),
+        }
+    }
+}
+
 /// Durable storage; each call returns only once its data is synced.
 pub trait Storage: Send {
     /// Reads what was saved before the last restart.
@@ -84,4 +98,106 @@
     ///
     /// Returns an error unless the snapshot is synced.
     fn save_snapshot(&mut self, snapshot: &Snapshot, tail: &[Entry]) -> Result<(), Error>;
+
+    /// Opens the saved snapshot, to send it to a follower. What is read does not change when another
+    /// snapshot is saved.
+    ///
+    /// Unless a storage overrides this method, the encoded snapshot is kept in memory.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there is no snapshot or it can't be read.
+    fn open_snapshot(&mut self) -> Result<Box<dyn ReadSnapshot>, Error> {
+        let snapshot = self.load()?.snapshot.ok_or_else(|| Error {
+            operation: "open a snapshot of",
+            cause: "none was saved".to_owned(),
+        })?;
+        let encoded = rmp_serde::to_vec_named(&snapshot)
+            .map_err(|error| Error::of("encode a snapshot of", &error))?;
+        Ok(Box::new(Bytes::from(encoded)))
+    }
+
+    /// Starts to receive a snapshot from a leader.
+    ///
+    /// Unless a storage overrides this method, the encoded snapshot is kept in memory.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there is no place to keep what is received.
+    fn receive_snapshot(&mut self) -> Result<Box<dyn WriteSnapshot>, Error> {
+        Ok(Box::new(BytesMut::new()))
+    }
+}
+
+/// A saved snapshot in its encoded form.
+pub trait ReadSnapshot: fmt::Debug + Send {
+    /// The size of the encoded snapshot in bytes.
+    fn total_bytes(&self) -> usize;
+
+    /// How many bytes of it are in memory.
+    fn bytes_in_memory(&self) -> usize;
+
+    /// Reads at most `max_bytes` from an offset on.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the snapshot can't be read.
+    fn read(&mut self, offset: usize, max_bytes: usize) -> Result<Bytes, Error>;
+}
+
+impl ReadSnapshot for Bytes {
+    fn total_bytes(&self) -> usize {
+        self.len()
+    }
+
+    fn bytes_in_memory(&self) -> usize {
+        self.len()
+    }
+
+    fn read(&mut self, offset: usize, max_bytes: usize) -> Result<Bytes, Error> {
+        let end = offset.saturating_add(max_bytes).min(self.len());
+        Ok(self.slice(offset.min(end)..end))
+    }
+}
+
+/// An encoded snapshot that is being received; it need not survive a restart.
+pub trait WriteSnapshot: fmt::Debug + Send {
+    /// How many bytes were received.
+    fn received_bytes(&self) -> usize;
+
+    /// How many of them are in memory.
+    fn bytes_in_memory(&self) -> usize;
+
+    /// Appends received bytes.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if they can't be kept.
+    fn append(&mut self, part: &[u8]) -> Result<(), Error>;
+
+    /// Decodes the completely received snapshot.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it can't be read or decoded.
+    fn finish(self: Box<Self>) -> Result<Snapshot, Error>;
+}
+
+impl WriteSnapshot for BytesMut {
+    fn received_bytes(&self) -> usize {
+        self.len()
+    }
+
+    fn bytes_in_memory(&self) -> usize {
+        self.len()
+    }
+
+    fn append(&mut self, part: &[u8]) -> Result<(), Error> {
+        self.extend_from_slice(part);
+        Ok(())
+    }
+
+    fn finish(self: Box<Self>) -> Result<Snapshot, Error> {
+        rmp_serde::from_slice(&self).map_err(|error| Error::of("decode a snapshot for", &error))
+    }
 }
--- a/crates/celerycove-control/src/transfer.rs
+++ b/crates/celerycove-control/src/transfer.rs
@@ -1,38 +1,41 @@
 //! Transfer of snapshots to followers, in chunks.
 //!
 //! A chunk is small enough not to delay heartbeats and entries on the same connection. The next one
-//! is sent once the previous one is acknowledged, so that a slow link is never flooded.
+//! is sent once the previous one is acknowledged, so that a slow link is never flooded. The leader
+//! reads the chunks from its storage, and the follower writes them there: the state of a store takes
+//! up much of its memory, so that an encoded copy of it would not fit beside it.
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use celerycove_types::id;
 
 use crate::{
     log::{Index, Term},
     message::{Body, Round},
     raft::Raft,
-    storage::{Error, Snapshot},
+    state::State,
+    storage::{Error, ReadSnapshot, WriteSnapshot},
 };
 
 /// The maximum size of one chunk in bytes. At 130 Mbit/s it takes 2 ms, so entries queued behind it
 /// are hardly delayed.
 const CHUNK_BYTES: usize = 32 << 10;
 
-/// A snapshot that a leader sends, encoded once for all followers that need it.
-#[derive(Debug, Clone)]
+/// The saved snapshot that a leader sends to all followers that need it.
+#[derive(Debug)]
 pub(crate) struct Outgoing {
     index: Index,
-    bytes: Bytes,
+    snapshot: Box<dyn ReadSnapshot>,
 }
 
 /// A snapshot that a follower has received in part.
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 pub(crate) struct Incoming {
     /// The term of the leader that sends the snapshot.
     term: Term,
     /// The last log index that the snapshot includes.
     index: Index,
     total_bytes: usize,
-    bytes: BytesMut,
+    received: Box<dyn WriteSnapshot>,
 }
 
 /// The position of a follower in the snapshot that ends at a log index.
@@ -43,19 +46,26 @@
     offset: usize,
 }
 
-fn codec_error(operation: &'static str, error: &dyn std::error::Error) -> Error {
-    Error {
-        operation,
-        cause: error.to_string(),
-    }
-}
-
 impl Raft {
-    /// Returns the next chunk for a follower, or `None` if the snapshot can't be encoded.
+    /// Returns the next chunk for a follower, or `None` if the snapshot can't be read.
     pub(crate) fn next_install(&mut self, peer: &id::Process) -> Option<Body> {
-        let outgoing = self.ensure_outgoing_snapshot()?;
+        match self.read_chunk(peer) {
+            Ok(chunk) => chunk,
+            Err(error) => {
+                self.fatal_error = Some(error);
+                None
+            }
+        }
+    }
+
+    fn read_chunk(&mut self, peer: &id::Process) -> Result<Option<Body>, Error> {
+        self.ensure_outgoing_snapshot()?;
         let (round, confirmed) = (self.round, self.confirmed_round);
-        let progress = self.progress.get_mut(peer)?;
+        let (Some(outgoing), Some(progress)) =
+            (&mut self.outgoing_snapshot, self.progress.get_mut(peer))
+        else {
+            return Ok(None);
+        };
         let current = progress
             .snapshot_position
             .filter(|position| position.index == outgoing.index);
@@ -64,51 +74,36 @@
             offset: 0,
         });
         progress.snapshot_position = Some(position);
-        let end = (position.offset + CHUNK_BYTES).min(outgoing.bytes.len());
-        Some(Body::Install {
+        Ok(Some(Body::Install {
             index: outgoing.index,
-            total: outgoing.bytes.len(),
+            total: outgoing.snapshot.total_bytes(),
             offset: position.offset,
-            part: outgoing.bytes.slice(position.offset.min(end)..end),
+            part: outgoing.snapshot.read(position.offset, CHUNK_BYTES)?,
             round,
             confirmed,
-        })
+        }))
     }
 
-    /// Returns the snapshot that is being sent, or encodes a new one if the log no longer holds the
-    /// entries that follow it.
-    fn ensure_outgoing_snapshot(&mut self) -> Option<Outgoing> {
-        let log_start = self.log.snapshot_index();
-        if let Some(outgoing) = self
-            .outgoing_snapshot
-            .as_ref()
-            .filter(|sent| sent.index >= log_start)
-        {
-            return Some(outgoing.clone());
-        }
-        let snapshot = Snapshot {
-            index: self.applied_index,
-            term: self.log.term_at(self.applied_index).unwrap_or_default(),
-            members: self.members_at(self.applied_index),
-            state: self.state.clone(),
-        };
-        match rmp_serde::to_vec_named(&snapshot) {
-            Ok(bytes) => {
-                let outgoing = Outgoing {
-                    index: snapshot.index,
-                    bytes: bytes.into(),
-                };
-                self.outgoing_snapshot = Some(outgoing.clone());
-                Some(outgoing)
-            }
-            Err(error) => {
-                self.fatal_error = Some(codec_error("encode a snapshot of", &error));
-                None
-            }
+    /// Opens the saved snapshot, unless one is being sent that the entries in the log can follow.
+    fn ensure_outgoing_snapshot(&mut self) -> Result<(), Error> {
+        let index = self.log.snapshot_index();
+        let is_usable = |outgoing: &Outgoing| outgoing.index >= index;
+        if !self.outgoing_snapshot.as_ref().is_some_and(is_usable) {
+            let snapshot = self.storage.open_snapshot()?;
+            self.outgoing_snapshot = Some(Outgoing { index, snapshot });
         }
+        Ok(())
     }
 
-    /// Drops the encoded snapshot once no follower needs it.
+    /// How many bytes of snapshots in transfer are in memory.
+    pub(crate) fn transfer_bytes(&self) -> usize {
+        let outgoing = self.outgoing_snapshot.as_ref();
+        let incoming = self.incoming_snapshot.as_ref();
+        outgoing.map_or(0, |outgoing| outgoing.snapshot.bytes_in_memory())
+            + incoming.map_or(0, |incoming| incoming.received.bytes_in_memory())
+    }
+
+    /// Closes the snapshot once no follower needs it.
     pub(crate) fn release_outgoing_snapshot(&mut self) {
         if self
             .progress
@@ -160,26 +155,22 @@
             self.reply(from, Some(self.commit_index), self.commit_index, round);
             return;
         }
-        let term = self.ballot.term;
-        let is_same_transfer = |incoming: &Incoming| {
-            (incoming.term, incoming.index, incoming.total_bytes) == (term, index, total)
+        let received = self.receive_chunk((index, total, offset), part);
+        let received = match received {
+            Ok(received) => received,
+            Err(error) => {
+                self.fatal_error = Some(error);
+                return;
+            }
         };
-        let mut incoming = self
-            .incoming_snapshot
-            .take()
-            .filter(is_same_transfer)
-            .unwrap_or(Incoming {
-                term,
+        let held = received.received_bytes();
+        if held < total {
+            self.incoming_snapshot = Some(Incoming {
+                term: self.ballot.term,
                 index,
                 total_bytes: total,
-                bytes: BytesMut::new(),
+                received,
             });
-        if offset == incoming.bytes.len() {
-            incoming.bytes.extend_from_slice(part);
-        }
-        let held = incoming.bytes.len();
-        if held < total {
-            self.incoming_snapshot = Some(incoming);
             let voter = self.ballot.voter;
             let reply = Body::InstallReply {
                 index,
@@ -190,12 +181,40 @@
             self.send(from, reply);
             return;
         }
-        let decoded = rmp_serde::from_slice::<Snapshot>(&incoming.bytes);
-        // Frees the encoded form before the snapshot is saved.
-        drop(incoming);
-        match decoded {
-            Ok(snapshot) => self.accept_snapshot(from, snapshot, round),
-            Err(error) => self.fatal_error = Some(codec_error("decode a snapshot for", &error)),
+        // Two states may not fit in memory. If the new one can't be decoded, the instance halts.
+        self.state = State::default();
+        match received.finish() {
+            Ok(snapshot) if snapshot.index == index => {
+                self.accept_snapshot(from, snapshot, round);
+            }
+            Ok(snapshot) => {
+                self.fatal_error = Some(Error {
+                    operation: "install a snapshot for",
+                    cause: format!("it ends at {} instead of {index}", snapshot.index),
+                });
+            }
+            Err(error) => self.fatal_error = Some(error),
+        }
+    }
+
+    /// Adds a chunk to the incoming snapshot, which starts anew if the chunk is of another one.
+    fn receive_chunk(
+        &mut self,
+        (index, total, offset): (Index, usize, usize),
+        part: &Bytes,
+    ) -> Result<Box<dyn WriteSnapshot>, Error> {
+        let term = self.ballot.term;
+        let is_same_transfer = |incoming: &Incoming| {
+            (incoming.term, incoming.index, incoming.total_bytes) == (term, index, total)
+        };
+        let incoming = self.incoming_snapshot.take().filter(is_same_transfer);
+        let mut received = match incoming {
+            Some(incoming) => incoming.received,
+            None => self.storage.receive_snapshot()?,
+        };
+        if offset == received.received_bytes() {
+            received.append(part)?;
         }
+        Ok(received)
     }
 }
--- a/crates/celerycove-disk/src/control.rs
+++ b/crates/celerycove-disk/src/control.rs
@@ -4,7 +4,7 @@
 
 use celerycove_control::{
     Entry,
-    storage::{Ballot, Error, PersistentState, Snapshot, Storage},
+    storage::{Ballot, Error, PersistentState, ReadSnapshot, Snapshot, Storage, WriteSnapshot},
 };
 
 use crate::{
@@ -12,6 +12,8 @@
     value,
 };
 
+mod transfer;
+
 /// The file of term and vote. An instance writes it before any other, so it marks a directory that
 /// is in use.
 const BALLOT_FILE: &str = "ballot";
@@ -62,6 +64,14 @@
         self.directory.join("log")
     }
 
+    fn snapshot_path(&self) -> PathBuf {
+        self.directory.join("snapshot")
+    }
+
+    fn received_path(&self) -> PathBuf {
+        self.directory.join("snapshot.received")
+    }
+
     fn encode(&self, entries: &[Entry]) -> Result<Vec<Vec<u8>>, Error> {
         entries
             .iter()
@@ -72,10 +82,11 @@
 
 impl Storage for Store {
     fn load(&mut self) -> Result<PersistentState, Error> {
+        transfer::discard(&self.received_path())?;
         let ballot = value::load::<Ballot>(&self.directory.join(BALLOT_FILE))
             .map_err(storage_error("load"))?;
-        let snapshot = value::load::<Snapshot>(&self.directory.join("snapshot"))
-            .map_err(storage_error("load"))?;
+        let snapshot =
+            value::load::<Snapshot>(&self.snapshot_path()).map_err(storage_error("load"))?;
         let snapshot_index = snapshot.as_ref().map_or(0, |snapshot| snapshot.index);
         let mut decoded = Vec::new();
         let records = Records::open_each(&self.log_path(), |payload| {
@@ -123,7 +134,7 @@
     fn save_snapshot(&mut self, snapshot: &Snapshot, tail: &[Entry]) -> Result<(), Error> {
         // A crash before the log is replaced is harmless: loading skips the entries that the
         // snapshot includes.
-        value::save(&self.directory.join("snapshot"), snapshot)
+        value::save(&self.snapshot_path(), snapshot)
             .map_err(storage_error("save a snapshot of"))?;
         let payloads = self.encode(tail)?;
         let records =
@@ -131,4 +142,13 @@
         self.log = Some(records);
         Ok(())
     }
+
+    fn open_snapshot(&mut self) -> Result<Box<dyn ReadSnapshot>, Error> {
+        transfer::open_saved(&self.snapshot_path())
+    }
+
+    fn receive_snapshot(&mut self) -> Result<Box<dyn WriteSnapshot>, Error> {
+        let received = transfer::Received::create(self.received_path())?;
+        Ok(Box::new(received))
+    }
 }
--- a/crates/celerycove-disk/src/records.rs
+++ b/crates/celerycove-disk/src/records.rs
@@ -202,13 +202,57 @@
     Ok(())
 }
 
-/// Opens a file that [`replace_with`] wrote and returns a reader of its payload, after a check of the
-/// whole payload. Returns `None` if the file does not consist of one intact record.
+/// The payload of a file that consists of one intact record. It stays readable when the file is
+/// replaced.
+#[derive(Debug)]
+pub struct Payload {
+    path: PathBuf,
+    file: File,
+    length: u32,
+}
+
+impl Payload {
+    /// The size of the payload in bytes.
+    #[must_use]
+    pub fn length(&self) -> usize {
+        self.length as usize
+    }
+
+    /// Reads at most `max_bytes` from an offset on.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the file can't be read.
+    pub fn read_at(&mut self, offset: usize, max_bytes: usize) -> Result<Vec<u8>, Error> {
+        let left = self.length().saturating_sub(offset);
+        let mut part = vec![0; max_bytes.min(left)];
+        self.file
+            .seek(SeekFrom::Start((HEADER_BYTES + offset) as u64))
+            .and_then(|_| self.file.read_exact(&mut part))
+            .map_err(|source| io_error("read", &self.path, source))?;
+        Ok(part)
+    }
+
+    /// Returns a reader of the whole payload.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the file can't be read.
+    pub fn into_reader(mut self) -> Result<impl Read, Error> {
+        self.file
+            .seek(SeekFrom::Start(HEADER_BYTES as u64))
+            .map_err(|source| io_error("seek in", &self.path, source))?;
+        Ok(BufReader::new(self.file))
+    }
+}
+
+/// Opens a file that [`replace_with`] wrote, after a check of the whole payload. Returns `None` if the
+/// file does not consist of one intact record.
 ///
 /// # Errors
 ///
 /// Returns an error if the file can't be read.
-pub fn open_single(path: &Path) -> Result<Option<impl Read>, Error> {
+pub fn open_single(path: &Path) -> Result<Option<Payload>, Error> {
     let error_in = |operation| move |source| io_error(operation, path, source);
     let mut file = File::open(path).map_err(error_in("open"))?;
     let file_length = file.metadata().map_err(error_in("read"))?.len();
@@ -233,9 +277,11 @@
     if header(length, sink.hasher.finalize()) != start {
         return Ok(None);
     }
-    file.seek(SeekFrom::Start(HEADER_BYTES as u64))
-        .map_err(error_in("seek in"))?;
-    Ok(Some(BufReader::new(file)))
+    Ok(Some(Payload {
+        path: path.to_owned(),
+        file,
+        length,
+    }))
 }
 
 /// Writes to `inner` and computes the length and checksum of what was written.
--- a/crates/celerycove-disk/src/value.rs
+++ b/crates/celerycove-disk/src/value.rs
@@ -55,11 +55,12 @@
     if !path.exists() {
         return Ok(None);
     }
-    if let Some(reader) = records::open_single(path)? {
-        let value = rmp_serde::from_read(reader).map_err(|source| Error::Decode {
-            path: path.to_owned(),
-            source,
-        })?;
+    if let Some(payload) = records::open_single(path)? {
+        let value =
+            rmp_serde::from_read(payload.into_reader()?).map_err(|source| Error::Decode {
+                path: path.to_owned(),
+                source,
+            })?;
         return Ok(Some(value));
     }
     let (_, payloads) = Records::open(path)?;
--- a/crates/celerycove-disk/tests/disk.rs
+++ b/crates/celerycove-disk/tests/disk.rs
@@ -1,6 +1,7 @@
 //! Tests of recovery after crashes and from corrupt files.
 
-use std::path::{Path, PathBuf};
+#[path = "support/directory.rs"]
+mod directory;
 
 use celerycove_control::{
     Command, Entry, Storage,
@@ -13,31 +14,9 @@
     value::{load, save},
 };
 use celerycove_program::{Op, Record, message::Position};
+use directory::TempDir;
 use quickcheck::{Arbitrary, Gen};
 
-/// A temporary directory that is removed on drop.
-struct TempDir(PathBuf);
-
-impl TempDir {
-    fn new(name: &str) -> Self {
-        let directory =
-            std::env::temp_dir().join(format!("celerycove-disk-{}-{name}", std::process::id()));
-        std::fs::create_dir_all(&directory).expect("a directory");
-        Self(directory)
-    }
-
-    fn path(&self) -> &Path {
-        &self.0
-    }
-}
-
-impl Drop for TempDir {
-    fn drop(&mut self) {
-        // A leftover temporary directory is harmless.
-        let _ = std::fs::remove_dir_all(&self.0);
-    }
-}
-
 fn entry(index: u64, term: u64) -> Entry {
     Entry {
         term,
