feat: a memory budget of a process, derived from the limit in its settings

Control processes with a limit of 88 MB exceeded it: each buffer has a bound of its own, most of them count items, and nothing relates them to the limit of the instance, which was not read at all.

The settings now give the limit (256 MB if absent; less than 40 MB is rejected with the reason), and memory::Budget divides it: 20% for the allocator, 16 MB for what a process holds before it buffers anything, the rest by shares of the role. memory::Account counts what the parts hold.

Tests: the sum for limits from 40 MB to 16 GB and each role, the order in which room is granted, the setting.

--- a/crates/celerycove-gateway/src/lib.rs
+++ b/crates/celerycove-gateway/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod entry;
 pub mod http;
 pub mod link;
+pub mod memory;
 pub mod message;
 pub mod metrics;
 pub mod replica;
--- a/crates/celerycove-gateway/src/setup.rs
+++ b/crates/celerycove-gateway/src/setup.rs
@@ -6,6 +6,8 @@
 use celerycove_types::id;
 use serde::{Deserialize, Serialize};
 
+use crate::memory;
+
 /// The role of a process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Role {
@@ -89,6 +91,8 @@
     pub tolerated_failures: usize,
     /// Time limits that the deployment guarantees.
     pub bounds: TimeLimits,
+    /// What the process may hold in memory.
+    pub memory: memory::Budget,
 }
 
 impl Setup {
--- a/crates/celerycove-gateway/tests/callers/fleet.rs
+++ b/crates/celerycove-gateway/tests/callers/fleet.rs
@@ -11,6 +11,7 @@
 use bytes::Bytes;
 use celerycove_gateway::{
     Setup, control, entry,
+    memory::Budget,
     metrics::Metrics,
     setup::{ListenAddresses, Role, TimeLimits},
     store,
@@ -31,6 +32,8 @@
 const PORTS: std::ops::Range<u16> = 21_000..29_000;
 /// The port that claims a block, and those of the deployment.
 const BLOCK_PORTS: u16 = 10;
+/// The memory limit of a small deployment.
+const MEMORY_LIMIT_BYTES: usize = 88_000_000;
 const CONFIG: &str = "version=2\nroute=plain /plain/ app\nroute=once /once/ app\n\
     route=kept /kept/ app\nroute=resumable /resumable/ app\n";
 
@@ -175,6 +178,7 @@
                 grace_period: Duration::from_secs(8),
                 replacement: Duration::from_secs(4),
             },
+            memory: Budget::new(MEMORY_LIMIT_BYTES, role).expect("a budget"),
         };
         for name in ["control", "store"] {
             std::fs::create_dir_all(folder.join(name)).expect("a folder");
