fix: bound in bytes what waits for a peer and what is read from peers

A peer that read nothing made its sender hold up to 4,096 frames of any size, and each connection could hold a received frame of 32 MB, whatever the others held. Control processes with a limit of 88 MB were killed beside members that did not answer.

A send queue is now bounded in bytes: half of the budget's part for one peer, the part for all. A frame for many peers is one allocation and counts once. Small queues are exempt from the bound for all, so that peers that read lose nothing for those that don't. Frames without room are dropped on connections that this process opens, whose senders repeat them; a connection that a peer opened is closed, since a notice that a backend server leaves is not repeated otherwise. A peer that is not connected holds 64 KiB at most. A frame above 16 KiB is read when there is room, in the order of arrival; one above the whole part (an earlier version may send 32 MB) is read alone and keeps large operators' requests out meanwhile. With a limit of 88 MB such a frame, decoded, may still exceed its parts.

Reading and writing no longer wait for each other on one connection, and a peer has to accept each frame in time rather than the whole queue.

The tests of received frames in tests/listeners.rs need the account and were not run on the code before.

--- a/crates/celerycove-gateway/src/broadcast.rs
+++ b/crates/celerycove-gateway/src/broadcast.rs
@@ -31,7 +31,7 @@
 use self::lag::Lag;
 use crate::{
     clock,
-    link::{self, Sender, lock},
+    link::{Encoded, Sender, lock},
     message::{
         Frame, Peer, PeerStatus, RelayedHeartbeat, SequenceNumber, Update, View, ViewUpdate,
     },
@@ -322,12 +322,12 @@
 
     /// Sends a frame to the subscribers selected by `filter`.
     pub fn send_to(&self, frame: &Frame, filter: impl Fn(&Peer) -> bool) {
-        let Some(encoded) = link::encode(frame) else {
+        let Some(encoded) = Encoded::new(frame) else {
             return;
         };
         for subscriber in lock(&self.subscribers).iter() {
             if filter(&subscriber.peer) {
-                subscriber.sender.send_encoded(encoded.clone());
+                subscriber.sender.send_encoded(&encoded);
             }
         }
     }
--- a/crates/celerycove-gateway/src/control.rs
+++ b/crates/celerycove-gateway/src/control.rs
@@ -31,6 +31,7 @@
     entry::rate_limit,
     http,
     link::{self, Connections, Handler, Sender, lock},
+    memory::Account,
     message::{
         Frame, Peer, RelayedHeartbeat, Reply, RpcRequest, SequenceNumber, UNNUMBERED, Update, View,
         ViewUpdate,
@@ -98,6 +99,7 @@
 pub async fn start(
     setup: Setup,
     dialect: Arc<dyn Dialect>,
+    account: Arc<Account>,
     stop: watch::Receiver<bool>,
 ) -> Result<tokio::task::JoinHandle<()>, Error> {
     let address = setup
@@ -113,7 +115,7 @@
         has_disk: setup.data_dir.is_some(),
         may_bootstrap: setup.may_bootstrap_log(),
     };
-    let connections = Connections::new(local_peer.clone());
+    let connections = Connections::new(local_peer.clone(), account.clone());
     let may_bootstrap = local_peer.may_bootstrap;
     let control = Arc::new_cyclic(|weak_self| Control {
         weak_self: weak_self.clone(),
@@ -139,7 +141,7 @@
         control.open_log(None)?;
     }
     let internal = control.setup.internal_address()?;
-    link::listen(internal, control.clone()).await?;
+    link::listen(internal, control.clone(), account).await?;
     control.connect(&control.setup.seed_processes());
     let listener = http::bind(address)?;
     let server = tokio::spawn(http::serve(listener, control.clone(), stop));
--- a/crates/celerycove-gateway/src/entry.rs
+++ b/crates/celerycove-gateway/src/entry.rs
@@ -36,6 +36,7 @@
     clock,
     http::{self, Body},
     link::{self, Connections, Handler, Sender, lock},
+    memory::Account,
     message::{Frame, Peer, RelayedHeartbeat, UNNUMBERED, Update},
     metrics::Metrics,
     setup::Role,
@@ -91,20 +92,22 @@
     setup: Setup,
     dialect: Arc<dyn Dialect>,
     metrics: Arc<Metrics>,
+    account: Arc<Account>,
 ) -> Result<Running, Error> {
     let callers = setup
         .listen
         .callers
         .ok_or(Error::Missing("address for callers"))?;
     let process = setup.process();
-    let connections = Connections::new(Peer {
+    let local_peer = Peer {
         process: process.clone(),
         role: Role::Entry,
         instance: setup.instance.clone(),
         data_centre: setup.data_centre.clone(),
         has_disk: false,
         may_bootstrap: false,
-    });
+    };
+    let connections = Connections::new(local_peer, account.clone());
     let entry = Arc::new(Entry {
         dialect,
         fleet_state: FleetState::default(),
@@ -122,7 +125,7 @@
     });
     connections.set_handler(entry.clone());
     let internal = entry.setup.internal_address()?;
-    link::listen(internal, entry.clone()).await?;
+    link::listen(internal, entry.clone(), account).await?;
     entry.connect(entry.setup.seed_processes());
     let (stop, stopped) = watch::channel(false);
     if let Some(ready) = entry.setup.listen.ready {
--- a/crates/celerycove-gateway/src/link.rs
+++ b/crates/celerycove-gateway/src/link.rs
@@ -5,9 +5,14 @@
 //! least once every [`PING_INTERVAL`]; a connection on which nothing arrives for
 //! [`SILENCE_TIMEOUT`] is closed, since a network partition or a suspended peer closes no
 //! connection by itself.
+//!
+//! Queued and received frames are bounded in bytes, for each peer and for all peers together; see
+//! [`Part::SendQueues`] and [`Part::ReceivedFrames`].
 
 mod incoming;
 mod outgoing;
+mod queue;
+mod receive;
 
 use std::{
     sync::{
@@ -17,18 +22,25 @@
     time::Duration,
 };
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use celerycove_types::{Map, Set, id};
-use futures_util::{SinkExt, StreamExt};
 use tokio::{
-    net::TcpStream,
-    sync::{mpsc, oneshot},
+    io::{AsyncWriteExt, BufWriter},
+    net::{TcpStream, tcp::OwnedWriteHalf},
+    sync::oneshot,
 };
-use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 pub use incoming::listen;
-
-use crate::message::{Frame, Peer, Reply, RpcRequest, SequenceNumber};
+pub use queue::{Encoded, Sender};
+
+use self::queue::Overflow;
+#[cfg(doc)]
+use crate::memory::Part;
+use crate::{
+    clock,
+    memory::Account,
+    message::{Frame, Peer, Reply, RpcRequest, SequenceNumber},
+};
 
 /// How often each side sends a ping.
 pub const PING_INTERVAL: Duration = Duration::from_millis(500);
@@ -38,9 +50,6 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// The delay before a failed connection is opened again.
 const RECONNECT_DELAY: Duration = Duration::from_millis(150);
-/// The most frames that wait to be written to one peer; further frames are dropped, as on a broken
-/// connection.
-const SEND_QUEUE_FRAMES: usize = 4_096;
 /// The longest frame: a batch of the log's entries, whose largest one is a configuration.
 const MAX_FRAME_BYTES: usize = 32 << 20;
 /// The longest first frame, before the peer has introduced itself.
@@ -60,44 +69,7 @@
     fn closed(&self, peer: &id::Process, hello: Option<&Peer>, connection: u64);
 }
 
-/// Sends frames to one peer.
-#[derive(Debug, Clone)]
-pub struct Sender {
-    queue: mpsc::Sender<Bytes>,
-    /// The number of the connection, unique in this process; 0 if the sender is not bound to one.
-    pub connection: u64,
-}
-
-impl Sender {
-    /// Sends a frame, or drops it if the queue is full or the connection is closed: the protocol
-    /// repeats or retries what a dropped frame carried.
-    pub fn send(&self, frame: &Frame) {
-        if let Some(encoded) = encode(frame) {
-            self.send_encoded(encoded);
-        }
-    }
-
-    /// Sends an encoded frame like [`send`](Self::send).
-    pub fn send_encoded(&self, frame: Bytes) {
-        if self.queue.try_send(frame).is_err() {
-            log::debug!(target: "link", connection = self.connection;
-                "dropped a frame: the send queue is full or closed");
-        }
-    }
-
-    /// Queues a frame for writing and returns whether it was queued.
-    fn try_send(&self, frame: &Frame) -> bool {
-        encode(frame).is_some_and(|bytes| self.queue.try_send(bytes).is_ok())
-    }
-
-    /// Whether the connection is closed.
-    #[must_use]
-    pub fn is_closed(&self) -> bool {
-        self.queue.is_closed()
-    }
-}
-
-/// Encodes a frame, to be sent to any number of peers.
+/// Encodes a frame.
 #[must_use]
 pub fn encode(frame: &Frame) -> Option<Bytes> {
     match rmp_serde::to_vec(frame) {
@@ -124,6 +96,7 @@
 /// All connections that this process opens.
 pub struct Connections {
     local: Peer,
+    account: Arc<Account>,
     handler: std::sync::OnceLock<Arc<dyn Handler>>,
     peers: Mutex<Map<id::Process, Sender>>,
     /// The peers to which a connection is open now.
@@ -136,11 +109,13 @@
 static NEXT_CONNECTION: AtomicU64 = AtomicU64::new(1);
 
 impl Connections {
-    /// Creates a set without connections; `local` is what this process sends to introduce itself.
+    /// Creates a set without connections; `local` is what this process sends to introduce itself,
+    /// and `account` counts what the connections hold.
     #[must_use]
-    pub fn new(local: Peer) -> Arc<Self> {
+    pub fn new(local: Peer, account: Arc<Account>) -> Arc<Self> {
         Arc::new(Self {
             local,
+            account,
             handler: std::sync::OnceLock::new(),
             peers: Mutex::default(),
             connected: Mutex::default(),
@@ -162,15 +137,17 @@
         if *peer == self.local.process || peers.contains_key(peer) {
             return;
         }
-        let (queue, frames) = mpsc::channel(SEND_QUEUE_FRAMES);
-        let sender = Sender {
-            queue,
-            connection: 0,
-        };
+        let (sender, frames) = queue::new(&self.account, peer, Overflow::Drop, 0);
         peers.insert(peer.clone(), sender);
         tokio::spawn(outgoing::run(self.clone(), peer.clone(), frames));
     }
 
+    /// The account of what the connections hold.
+    #[must_use]
+    pub fn account(&self) -> &Arc<Account> {
+        &self.account
+    }
+
     /// Whether a connection to the peer is open now.
     pub fn is_connected(&self, peer: &id::Process) -> bool {
         lock(&self.connected).contains(peer)
@@ -204,9 +181,9 @@
         lock(&self.pending)
             .replies
             .insert(number, (peer.clone(), sender));
-        let sent = self
-            .sender(peer)
-            .is_some_and(|sender| sender.try_send(&Frame::Request(number, request)));
+        let frame = Encoded::new(&Frame::Request(number, request));
+        let sender = self.sender(peer).zip(frame);
+        let sent = sender.is_some_and(|(sender, frame)| sender.send_encoded(&frame));
         if !sent {
             lock(&self.pending).replies.remove(&number);
             return Err(NoReply);
@@ -237,16 +214,6 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-type FrameStream = Framed<TcpStream, LengthDelimitedCodec>;
-
-fn framed(stream: TcpStream) -> FrameStream {
-    // A failure only increases latency.
-    let _ = stream.set_nodelay(true);
-    let mut codec = LengthDelimitedCodec::new();
-    codec.set_max_frame_length(MAX_FRAME_BYTES);
-    Framed::new(stream, codec)
-}
-
 /// Why a connection was closed.
 #[derive(Debug, thiserror::Error)]
 enum Disconnect {
@@ -258,42 +225,92 @@
     Io(#[from] std::io::Error),
     #[error("a frame could not be read: {0}")]
     Frame(#[from] rmp_serde::decode::Error),
+    #[error("the peer announced a frame of {0} bytes")]
+    TooLong(usize),
+    #[error("the peer read too slowly: there was no room for another frame")]
+    Overflow,
     #[error("this process closed the connection")]
     Local,
 }
 
+/// The times at which a peer was heard from. They are kept in milliseconds, in an atomic number,
+/// since one future writes them and another reads them.
+#[derive(Debug)]
+struct Contact(AtomicU64);
+
+impl Contact {
+    /// Stands for a peer whose frame this process does not read yet, so that its silence says nothing.
+    const NOT_READING: u64 = u64::MAX;
+
+    fn now() -> Self {
+        Self(AtomicU64::new(clock::millis(clock::now())))
+    }
+
+    fn record(&self) {
+        self.0.store(clock::millis(clock::now()), Relaxed);
+    }
+
+    fn suspend(&self) {
+        self.0.store(Self::NOT_READING, Relaxed);
+    }
+
+    fn is_lost(&self) -> bool {
+        let silence = clock::millis(clock::now()).saturating_sub(self.0.load(Relaxed));
+        silence > clock::millis(SILENCE_TIMEOUT)
+    }
+}
+
 /// Writes queued frames and pings, and passes received frames to `on_frame`, until the connection
 /// is closed.
 async fn run_connection(
-    stream: &mut FrameStream,
-    queue: &mut mpsc::Receiver<Bytes>,
-    mut on_frame: impl FnMut(Frame),
+    mut reader: receive::Reader,
+    mut writer: Writer,
+    queue: &mut queue::Receiver,
+    on_frame: impl FnMut(Frame),
+) -> Disconnect {
+    let contact = Contact::now();
+    let backlog = queue.backlog();
+    tokio::select! {
+        cause = reader.run(&contact, on_frame) => cause,
+        cause = write_frames(&mut writer, queue, &contact) => cause,
+        () = backlog.overflowed() => Disconnect::Overflow,
+    }
+}
+
+type Writer = BufWriter<OwnedWriteHalf>;
+
+/// Splits a connection into its two directions.
+fn split(stream: TcpStream, account: &Arc<Account>) -> (receive::Reader, Writer) {
+    // A failure only increases latency.
+    let _ = stream.set_nodelay(true);
+    let (reader, writer) = stream.into_split();
+    (
+        receive::Reader::new(reader, account.clone()),
+        BufWriter::new(writer),
+    )
+}
+
+/// Writes queued frames and pings until the connection fails or the peer is silent.
+async fn write_frames(
+    writer: &mut Writer,
+    queue: &mut queue::Receiver,
+    contact: &Contact,
 ) -> Disconnect {
-    let ping = match rmp_serde::to_vec(&Frame::Ping) {
-        Ok(ping) => Bytes::from(ping),
-        Err(error) => return std::io::Error::other(error).into(),
+    let Some(ping) = encode(&Frame::Ping) else {
+        return Disconnect::Local;
     };
     let mut pings = tokio::time::interval(PING_INTERVAL);
-    let mut received_at = crate::clock::now();
     loop {
         let result = tokio::select! {
-            frame = stream.next() => match frame {
-                Some(Ok(bytes)) => {
-                    received_at = crate::clock::now();
-                    decode(&bytes).map(&mut on_frame)
-                }
-                Some(Err(error)) => Err(error.into()),
-                None => Err(Disconnect::Closed),
-            },
             frame = queue.recv() => match frame {
-                Some(first) => write(stream, first, queue).await,
+                Some(first) => write(writer, first.bytes(), queue).await,
                 None => Err(Disconnect::Local),
             },
             _ = pings.tick() => {
-                if crate::clock::now().saturating_sub(received_at) > SILENCE_TIMEOUT {
+                if contact.is_lost() {
                     Err(Disconnect::Silent)
                 } else {
-                    write(stream, ping.clone(), queue).await
+                    write(writer, &ping, queue).await
                 }
             }
         };
@@ -303,24 +320,30 @@
     }
 }
 
-fn decode(bytes: &BytesMut) -> Result<Frame, Disconnect> {
-    Ok(rmp_serde::from_slice(bytes)?)
-}
-
-/// Writes `first` and all queued frames, then flushes once. A peer that accepts no data for
-/// [`SILENCE_TIMEOUT`] counts as silent.
+/// Writes `first` and all queued frames, then flushes once. A peer that does not accept a frame
+/// within [`SILENCE_TIMEOUT`] counts as silent.
 async fn write(
-    stream: &mut FrameStream,
-    first: Bytes,
-    queue: &mut mpsc::Receiver<Bytes>,
+    writer: &mut Writer,
+    first: &[u8],
+    queue: &mut queue::Receiver,
 ) -> Result<(), Disconnect> {
-    let writing = async {
-        stream.feed(first).await?;
-        while let Ok(frame) = queue.try_recv() {
-            stream.feed(frame).await?;
-        }
-        SinkExt::<Bytes>::flush(stream).await
-    };
+    write_frame(writer, first).await?;
+    while let Some(frame) = queue.try_recv() {
+        write_frame(writer, frame.bytes()).await?;
+    }
+    in_time(writer.flush()).await
+}
+
+async fn write_frame(writer: &mut Writer, frame: &[u8]) -> Result<(), Disconnect> {
+    let length = u32::try_from(frame.len()).map_err(std::io::Error::other)?;
+    in_time(async {
+        writer.write_u32(length).await?;
+        writer.write_all(frame).await
+    })
+    .await
+}
+
+async fn in_time(writing: impl Future<Output = std::io::Result<()>>) -> Result<(), Disconnect> {
     match tokio::time::timeout(SILENCE_TIMEOUT, writing).await {
         Ok(result) => Ok(result?),
         Err(_) => Err(Disconnect::Silent),
--- a/crates/celerycove-gateway/src/link/outgoing.rs
+++ b/crates/celerycove-gateway/src/link/outgoing.rs
@@ -2,13 +2,12 @@
 
 use std::{sync::Arc, sync::atomic::Ordering::Relaxed};
 
-use bytes::Bytes;
 use celerycove_types::id;
-use tokio::{net::TcpStream, sync::mpsc, time::timeout};
+use tokio::{net::TcpStream, time::timeout};
 
 use super::{
-    CONNECT_TIMEOUT, Connections, Disconnect, NEXT_CONNECTION, RECONNECT_DELAY, Sender, framed,
-    lock, run_connection,
+    CONNECT_TIMEOUT, Connections, Disconnect, NEXT_CONNECTION, RECONNECT_DELAY, encode, lock,
+    queue, run_connection, split,
 };
 use crate::message::Frame;
 
@@ -16,7 +15,7 @@
 pub(super) async fn run(
     connections: Arc<Connections>,
     peer: id::Process,
-    mut queue: mpsc::Receiver<Bytes>,
+    mut queue: queue::Receiver,
 ) {
     let mut connected = true;
     while !queue.is_closed() && lock(&connections.peers).contains_key(&peer) {
@@ -24,7 +23,9 @@
             Ok(stream) => {
                 connected = true;
                 lock(&connections.connected).insert(peer.clone());
+                queue.set_connected(true);
                 let cause = serve(&connections, &peer, stream, &mut queue).await;
+                queue.set_connected(false);
                 lock(&connections.connected).remove(&peer);
                 connections.fail_pending(&peer);
                 log::warn!(target: "link", peer:% = peer, cause:% = cause; "connection lost");
@@ -40,7 +41,7 @@
             }
         }
         // Frames queued for the failed connection are dropped, like those it had not delivered.
-        while queue.try_recv().is_ok() {}
+        queue.clear();
         connections.fail_pending(&peer);
         tokio::time::sleep(RECONNECT_DELAY).await;
     }
@@ -58,28 +59,24 @@
     connections: &Arc<Connections>,
     peer: &id::Process,
     stream: TcpStream,
-    queue: &mut mpsc::Receiver<Bytes>,
+    queue: &mut queue::Receiver,
 ) -> Disconnect {
-    let mut stream = framed(stream);
+    let (reader, mut writer) = split(stream, &connections.account);
     let Some(mut sender) = lock(&connections.peers).get(peer).cloned() else {
         return Disconnect::Local;
     };
     sender.connection = NEXT_CONNECTION.fetch_add(1, Relaxed);
-    let hello = Frame::Hello(connections.local.clone());
-    match rmp_serde::to_vec(&hello) {
-        Ok(bytes) => {
-            if let Err(cause) = super::write(&mut stream, bytes.into(), queue).await {
-                return cause;
-            }
-        }
-        Err(error) => return std::io::Error::other(error).into(),
+    let Some(hello) = encode(&Frame::Hello(connections.local.clone())) else {
+        return Disconnect::Local;
+    };
+    if let Err(cause) = super::write(&mut writer, &hello, queue).await {
+        return cause;
     }
     log::info!(target: "link", peer:% = peer; "connected");
     if let Some(handler) = connections.handler.get() {
         handler.opened(peer, None, &sender);
     }
-    let sender: Sender = sender;
-    run_connection(&mut stream, queue, |frame| match frame {
+    run_connection(reader, writer, queue, |frame| match frame {
         Frame::Ping => {}
         Frame::Reply(number, reply) => connections.deliver_reply(number, reply),
         frame => {
--- a/crates/celerycove-gateway/src/store.rs
+++ b/crates/celerycove-gateway/src/store.rs
@@ -17,6 +17,7 @@
     clock,
     control::member_candidates,
     link::{self, Connections, Handler, Sender},
+    memory::Account,
     message::{Frame, Peer, Reply, RpcRequest, SequenceNumber},
     replica::{Replica, options},
     setup::Role,
@@ -51,20 +52,21 @@
 ///
 /// Returns an error if a setting is missing, a listener can't be opened, or the log on the disk
 /// can't be opened.
-pub async fn start(setup: Setup) -> Result<(), Error> {
+pub async fn start(setup: Setup, account: Arc<Account>) -> Result<(), Error> {
     let data = setup
         .data_dir
         .clone()
         .ok_or(Error::Missing("data directory"))?;
     let me = setup.process();
-    let connections = Connections::new(Peer {
+    let local_peer = Peer {
         process: me.clone(),
         role: Role::Store,
         instance: setup.instance.clone(),
         data_centre: setup.data_centre.clone(),
         has_disk: true,
         may_bootstrap: setup.may_bootstrap_log(),
-    });
+    };
+    let connections = Connections::new(local_peer, account.clone());
     let store = Arc::new_cyclic(|weak_self| Store {
         weak_self: weak_self.clone(),
         connections: connections.clone(),
@@ -77,7 +79,7 @@
     if Disk::has_log(&data) {
         store.open_log(None)?;
     }
-    link::listen(internal, store.clone()).await?;
+    link::listen(internal, store.clone(), account).await?;
     for control in store.setup.seed_processes() {
         store.connections.open(&control);
     }
--- a/crates/celerycove-gateway/tests/callers/fleet.rs
+++ b/crates/celerycove-gateway/tests/callers/fleet.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use celerycove_gateway::{
     Setup, control, entry,
-    memory::Budget,
+    memory::{Account, Budget},
     metrics::Metrics,
     setup::{ListenAddresses, Role, TimeLimits},
     store,
@@ -185,14 +185,17 @@
         }
         let (stop, stopped) = watch::channel(false);
         let control = setup(Role::Control, Some("control"));
-        control::start(control, Arc::new(TestDialect), stopped)
+        let account = Account::new(control.memory);
+        control::start(control, Arc::new(TestDialect), account, stopped)
             .await
             .expect("a control instance");
-        store::start(setup(Role::Store, Some("store")))
-            .await
-            .expect("a store");
+        let store = setup(Role::Store, Some("store"));
+        let account = Account::new(store.memory);
+        store::start(store, account).await.expect("a store");
         let metrics = Metrics::new().expect("metrics");
-        let entry = entry::start(setup(Role::Entry, None), Arc::new(TestDialect), metrics)
+        let entry = setup(Role::Entry, None);
+        let account = Account::new(entry.memory);
+        let entry = entry::start(entry, Arc::new(TestDialect), metrics, account)
             .await
             .expect("an entry");
         let failures = Failures::default();
--- a/crates/celerycove-gateway/tests/listeners.rs
+++ b/crates/celerycove-gateway/tests/listeners.rs
@@ -3,7 +3,7 @@
 use std::{
     net::SocketAddr,
     sync::{
-        Arc,
+        Arc, Mutex,
         atomic::{AtomicUsize, Ordering::SeqCst},
     },
     time::Duration,
@@ -13,6 +13,7 @@
 use celerycove_gateway::{
     http::{self, Body},
     link::{self, Handler, Sender},
+    memory::{Account, Budget, DEFAULT_LIMIT_BYTES, Part},
     message::{Frame, Peer},
     setup::Role,
 };
@@ -51,6 +52,15 @@
         .expect("a runtime")
 }
 
+fn account() -> Arc<Account> {
+    Account::new(Budget::new(DEFAULT_LIMIT_BYTES, Role::Control).expect("a budget"))
+}
+
+/// The account of a control instance of a small deployment.
+fn small_account() -> Arc<Account> {
+    Account::new(Budget::new(88_000_000, Role::Control).expect("a budget"))
+}
+
 fn free_address() -> SocketAddr {
     let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
     listener.local_addr().expect("an address")
@@ -105,7 +115,7 @@
     runtime().block_on(async {
         let address = free_address();
         let counter = Arc::new(Counter::default());
-        link::listen(address, counter.clone())
+        link::listen(address, counter.clone(), account())
             .await
             .expect("listening");
         let mut sound = TcpStream::connect(address).await.expect("a connection");
@@ -132,7 +142,7 @@
     runtime().block_on(async {
         let address = free_address();
         let counter = Arc::new(Counter::default());
-        link::listen(address, counter.clone())
+        link::listen(address, counter.clone(), account())
             .await
             .expect("listening");
         let mut peer = TcpStream::connect(address).await.expect("a connection");
@@ -148,6 +158,198 @@
     });
 }
 
+/// A frame whose encoding is a little longer than `bytes`.
+fn frame_of(bytes: usize) -> Vec<u8> {
+    let name = "x".repeat(bytes);
+    let frame = Frame::InitialMembers([name.as_str().into()].into());
+    link::encode(&frame).expect("encoded").to_vec()
+}
+
+async fn introduced(address: SocketAddr) -> TcpStream {
+    let mut peer = TcpStream::connect(address).await.expect("a connection");
+    peer.write_all(&hello()).await.expect("sent");
+    peer
+}
+
+async fn wait_until(mut condition: impl FnMut() -> bool) {
+    let waiting = async {
+        while !condition() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    let waiting = tokio::time::timeout(Duration::from_secs(10), waiting).await;
+    waiting.expect("the condition holds in time");
+}
+
+/// Each connection could hold a frame of 32 MB, whatever the others held.
+#[test]
+fn large_frames_of_many_peers_at_once_wait_for_each_other_and_all_arrive() {
+    const PEERS: usize = 8;
+    runtime().block_on(async {
+        let address = free_address();
+        let counter = Arc::new(Counter::default());
+        let account = small_account();
+        link::listen(address, counter.clone(), account.clone())
+            .await
+            .expect("listening");
+        // None of them ends its frame before all have begun.
+        let frame = length_prefixed(&frame_of(4 << 20));
+        let mut peers = Vec::new();
+        for _ in 0..PEERS {
+            let mut peer = introduced(address).await;
+            peer.write_all(&frame[..1 << 10]).await.expect("sent");
+            peers.push(peer);
+        }
+        wait_until(|| account.used(Part::ReceivedFrames) > 0).await;
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        let used = account.used(Part::ReceivedFrames);
+        assert!(used <= account.limit(Part::ReceivedFrames), "{used}");
+        let sending = peers.into_iter().map(|mut peer| {
+            let frame = frame.clone();
+            tokio::spawn(async move {
+                peer.write_all(&frame[1 << 10..]).await.expect("sent");
+                peer
+            })
+        });
+        // The connections stay open until all frames have arrived.
+        let _sending: Vec<_> = sending.collect();
+        wait_until(|| counter.frames.load(SeqCst) == PEERS).await;
+        wait_until(|| account.used(Part::ReceivedFrames) == 0).await;
+    });
+}
+
+/// A bound below the longest frame of an earlier version would cut off its members for good.
+#[test]
+fn the_longest_frame_of_an_earlier_version_is_still_read_beside_small_frames() {
+    runtime().block_on(async {
+        let address = free_address();
+        let counter = Arc::new(Counter::default());
+        let account = small_account();
+        link::listen(address, counter.clone(), account.clone())
+            .await
+            .expect("listening");
+        let frame = length_prefixed(&frame_of((32 << 20) - 64));
+        let mut large = introduced(address).await;
+        large.write_all(&frame[..1 << 10]).await.expect("sent");
+        wait_until(|| account.used(Part::ReceivedFrames) > 0).await;
+        let mut small = introduced(address).await;
+        let short = length_prefixed(&link::encode(&Frame::RequestView).expect("encoded"));
+        small.write_all(&short).await.expect("sent");
+        wait_until(|| counter.frames.load(SeqCst) == 1).await;
+        large.write_all(&frame[1 << 10..]).await.expect("sent");
+        wait_until(|| counter.frames.load(SeqCst) == 2).await;
+    });
+}
+
+/// A peer that announces a large frame and sends no more would keep the room from the others.
+#[test]
+fn a_frame_that_does_not_go_on_gives_its_room_back() {
+    runtime().block_on(async {
+        let address = free_address();
+        let counter = Arc::new(Counter::default());
+        let account = small_account();
+        link::listen(address, counter.clone(), account.clone())
+            .await
+            .expect("listening");
+        let frame = length_prefixed(&frame_of(16 << 20));
+        let mut stuck = introduced(address).await;
+        stuck.write_all(&frame[..1 << 10]).await.expect("sent");
+        wait_until(|| account.used(Part::ReceivedFrames) > 0).await;
+        let mut sound = introduced(address).await;
+        sound.write_all(&frame).await.expect("sent");
+        wait_until(|| counter.frames.load(SeqCst) == 1).await;
+    });
+}
+
+/// Frames for a peer that could not be reached were kept until the attempt to connect ended.
+#[test]
+fn little_waits_for_a_peer_that_is_not_connected() {
+    runtime().block_on(async {
+        let account = small_account();
+        let local = Peer {
+            process: "127.0.0.1:2".into(),
+            role: Role::Control,
+            instance: "control-1".into(),
+            data_centre: "a".into(),
+            has_disk: false,
+            may_bootstrap: false,
+        };
+        let connections = link::Connections::new(local, account.clone());
+        let peer = free_address().to_string().as_str().into();
+        let frame = Frame::InitialMembers(["x".repeat(10 << 10).as_str().into()].into());
+        for _ in 0..200 {
+            connections.send(&peer, &frame);
+        }
+        let used = account.used(Part::SendQueues);
+        assert!((10 << 10..=64 << 10).contains(&used), "{used}");
+        wait_until(|| account.used(Part::SendQueues) == 0).await;
+    });
+}
+
+/// Keeps the senders of all connections.
+#[derive(Default)]
+struct Senders(Mutex<Vec<Sender>>);
+
+impl Handler for Senders {
+    fn opened(&self, _peer: &id::Process, _hello: Option<&Peer>, sender: &Sender) {
+        self.0.lock().expect("a lock").push(sender.clone());
+    }
+
+    fn receive(&self, _peer: &id::Process, _frame: Frame, _sender: &Sender) {}
+
+    fn closed(&self, _peer: &id::Process, _hello: Option<&Peer>, _connection: u64) {}
+}
+
+/// The bound for all peers would let some that read nothing cut off one that reads; and a frame for
+/// all would exhaust it, if each queue counted it.
+#[test]
+fn peers_that_read_nothing_cost_one_that_reads_no_frame() {
+    const STUCK: usize = 4;
+    runtime().block_on(async {
+        let address = free_address();
+        let handler = Arc::new(Senders::default());
+        let account = small_account();
+        link::listen(address, handler.clone(), account.clone())
+            .await
+            .expect("listening");
+        let mut peers = Vec::new();
+        for number in 1..=STUCK + 1 {
+            peers.push(introduced(address).await);
+            wait_until(|| handler.0.lock().expect("a lock").len() == number).await;
+        }
+        let mut sound = peers.pop().expect("a peer");
+        let mut senders = handler.0.lock().expect("a lock").clone();
+        let sender = senders.pop().expect("a sender");
+        // More than half of the room for all, once for each of them.
+        let shared = frame_of(account.limit(Part::SendQueues) / 2 + 1);
+        let shared = link::Encoded::from(bytes::Bytes::from(shared));
+        for stuck in &senders {
+            assert!(stuck.send_encoded(&shared));
+        }
+        let room = account.limit(Part::SendQueues);
+        assert!(account.used(Part::SendQueues) < room * 6 / 10);
+        // Frames of their own fill the rest.
+        let own = link::Encoded::from(bytes::Bytes::from(frame_of(1 << 20)));
+        assert!(!senders[0].send_encoded(&own));
+        for _ in 0..1_000 {
+            sender.send(&Frame::RequestView);
+        }
+        drop(shared);
+        let reading = async {
+            let mut views = 0;
+            while views < 1_000 {
+                let length = sound.read_u32().await.expect("a frame");
+                let mut frame = vec![0; length as usize];
+                sound.read_exact(&mut frame).await.expect("a frame");
+                let request = link::encode(&Frame::RequestView).expect("encoded");
+                views += usize::from(frame == request);
+            }
+        };
+        let reading = tokio::time::timeout(Duration::from_secs(5), reading).await;
+        reading.expect("all frames arrive");
+    });
+}
+
 /// Answers each request after a while.
 struct Slow;
 
