fix(control): bound the bodies of all requests together

Each request to a control instance could hold a body of 16 MiB, any number of them at once and for ten seconds, and each configuration costs several times its text.

A body now waits for room, counted four times, before it is read: for 400 ms, then the operator is answered 503 with Retry-After and told that nothing was done, and a line of target operate names the part. Bodies up to 16 KiB, such as heartbeats, have room of their own. A body that can never be accepted is answered 413 with the limit: 4.3 MB with a memory limit of 88 MB, 16 MiB at most. A sender that pauses for two seconds within its body is given up. The rest of a rejected body is read and dropped for up to 500 ms, so that the sender sees the response.

Tests: four senders that each keep back the last byte of 4 MiB. Before: none refused ("left: 0, right: 3"). After: three are refused, a heartbeat passes meanwhile, and a configuration of 4 MB is committed once the fourth has been given up. A body of 6 MiB: before "left: (400, None) right: (413, None)". Gateway tests pass (callers: 25).

--- a/crates/celerycove-gateway/src/control.rs
+++ b/crates/celerycove-gateway/src/control.rs
@@ -3,6 +3,7 @@
 //! Instances with a disk can be members of the control log. Those without one only pass on
 //! heartbeats and updates, and send commands to the leader, which commits them.
 
+mod admission;
 mod api;
 mod bootstrap;
 mod maintenance;
@@ -20,6 +21,7 @@
 use celerycove_disk::Store;
 use celerycove_fleet::{Change, Command, Config, Fleet, registry::Stage};
 use celerycove_limit::{Lease, Ownership, Request as LeaseRequest, fallback::reduced_entitlement};
+use celerycove_log::limit::Limit;
 use celerycove_route::direct::{Report, demand::Collector};
 use celerycove_types::{Set, Timestamp, id};
 use tokio::sync::{Notify, watch};
@@ -59,6 +61,9 @@
 /// Entries of the control log between snapshots.
 const SNAPSHOT_AFTER_ENTRIES: u64 = 1_024;
 
+/// Lines a second about requests without room for their bodies.
+const NO_ROOM_LINES: u32 = 1;
+
 /// A control process.
 pub struct Control {
     weak_self: Weak<Self>,
@@ -87,6 +92,8 @@
     relayed_changes: Mutex<Vec<RelayedHeartbeat>>,
     maintenance: Mutex<maintenance::State>,
     bootstrap: Mutex<bootstrap::Bootstrap>,
+    /// Limits the lines about requests without room for their bodies.
+    no_room_lines: Mutex<Limit>,
 }
 
 /// Starts a control instance and returns the task that serves operators and backend servers. It ends
@@ -134,6 +141,7 @@
         relayed_changes: Mutex::default(),
         maintenance: Mutex::default(),
         bootstrap: Mutex::new(bootstrap::Bootstrap::new(&setup)),
+        no_room_lines: Mutex::new(Limit::new(NO_ROOM_LINES)),
         setup,
     });
     connections.set_handler(control.clone());
--- a/crates/celerycove-gateway/src/control/api.rs
+++ b/crates/celerycove-gateway/src/control/api.rs
@@ -6,10 +6,15 @@
     Command,
     registry::{Change, Heartbeat, Stage},
 };
+use celerycove_log::limit::Admitted;
 use celerycove_types::id;
-use hyper::{Request, Response, StatusCode, body::Incoming};
+use hyper::{
+    Request, Response, StatusCode,
+    body::Incoming,
+    header::{self, HeaderValue},
+};
 
-use super::Control;
+use super::{Control, admission};
 use crate::{
     broadcast::log_backend_change,
     clock,
@@ -25,6 +30,8 @@
 const ACKNOWLEDGE_TIMEOUT: Duration = Duration::from_millis(500);
 /// How long a request to a store may take.
 const STORE_REQUEST_TIMEOUT: Duration = Duration::from_millis(500);
+/// `Retry-After` for a request that finds no room for its body: longer than most commits take.
+const RETRY_AFTER_NO_ROOM_SECONDS: &str = "1";
 
 impl http::Service for Control {
     async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Response<Body> {
@@ -34,18 +41,13 @@
                 "unknown operation");
             return http::text_response(StatusCode::NOT_FOUND, "no such call");
         };
-        let body = match http::read_body(body, http::MAX_CONTROL_BODY_BYTES).await {
+        let body = match admission::read(body, self.connections.account()).await {
             Ok(body) => body,
-            Err(http::BodyError::TooLong) => {
-                return http::text_response(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long");
-            }
-            Err(http::BodyError::Incomplete) => {
-                return http::text_response(StatusCode::BAD_REQUEST, "the body broke off");
-            }
+            Err(error) => return self.reject_body(&operation, error),
         };
         let began = clock::now();
         let operation_text = format!("{operation:?}");
-        let response = self.execute(operation, body).await;
+        let response = self.execute(operation, &body.bytes).await;
         let is_routine = response.status().is_success() && operation_text.starts_with("Beat");
         if !is_routine {
             let elapsed = clock::millis(clock::now().saturating_sub(began));
@@ -57,9 +59,38 @@
 }
 
 impl Control {
-    async fn execute(&self, operation: Operation, body: bytes::Bytes) -> Response<Body> {
+    /// Logs why a body is rejected and builds the response. No part of the request was carried out.
+    fn reject_body(&self, operation: &Operation, error: admission::Error) -> Response<Body> {
+        let text = match error {
+            admission::Error::TooLong { limit } => {
+                log::warn!(target: "operate", order:? = operation, limit;
+                    "rejected a body that is longer than this instance can ever accept");
+                let text = format!("the body is longer than {limit} bytes");
+                return http::text_response(StatusCode::PAYLOAD_TOO_LARGE, text);
+            }
+            admission::Error::Incomplete => {
+                return http::text_response(StatusCode::BAD_REQUEST, "the body broke off");
+            }
+            admission::Error::NoRoom { part } => {
+                if let Some(Admitted { held_back }) = lock(&self.no_room_lines).admit(clock::now())
+                {
+                    let account = self.connections.account();
+                    log::warn!(target: "operate", order:? = operation, part = part.name(),
+                        used = account.used(part), limit = account.limit(part), held_back;
+                        "rejected a request: other requests hold the memory for bodies");
+                }
+                "other requests hold the memory for bodies; nothing was done"
+            }
+        };
+        let mut response = http::text_response(StatusCode::SERVICE_UNAVAILABLE, text);
+        let delay = HeaderValue::from_static(RETRY_AFTER_NO_ROOM_SECONDS);
+        response.headers_mut().insert(header::RETRY_AFTER, delay);
+        response
+    }
+
+    async fn execute(&self, operation: Operation, body: &bytes::Bytes) -> Response<Body> {
         match operation {
-            Operation::Beat(backend) => match self.dialect.heartbeat(&backend, &body) {
+            Operation::Beat(backend) => match self.dialect.heartbeat(&backend, body) {
                 Ok(heartbeat) => self.receive_heartbeat(heartbeat).await,
                 Err(error) => {
                     log::warn!(target: "registry", backend:% = backend, error:% = error;
@@ -68,7 +99,7 @@
                 }
             },
             Operation::Leave(backend) => self.leave(&backend).await,
-            Operation::Configure => self.configure(&body).await,
+            Operation::Configure => self.configure(body).await,
             Operation::Read => match self.read_latest().await {
                 Reply::State(fleet) if fleet.config.version > 0 => {
                     http::json_response(StatusCode::OK, fleet.config.source.clone())
--- a/crates/celerycove-gateway/src/http.rs
+++ b/crates/celerycove-gateway/src/http.rs
@@ -26,8 +26,6 @@
 pub const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// The most connections that wait to be accepted.
 const LISTEN_BACKLOG: u32 = 1_024;
-/// The largest body of a request to a control instance: a configuration of many routes.
-pub const MAX_CONTROL_BODY_BYTES: usize = 16 << 20;
 /// Time limit for receiving the body of a request.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// The smallest connection buffer that hyper accepts.
--- a/crates/celerycove-gateway/tests/callers.rs
+++ b/crates/celerycove-gateway/tests/callers.rs
@@ -12,6 +12,7 @@
 
 use backend::Failure;
 use fleet::{Deployment, Reply};
+use tokio::{io::AsyncReadExt, net::TcpStream};
 
 #[test]
 fn a_request_is_forwarded_with_the_organisation_and_without_the_key() {
@@ -348,3 +349,72 @@
         assert_eq!(next.status, 200);
     });
 }
+
+/// A valid configuration of about four megabytes.
+fn large_config(version: u32) -> String {
+    let filler = "x".repeat(4_000);
+    let routes = (0..1_040).map(|number| format!("route=plain /{number}-{filler}/ app\n"));
+    let routes: String = routes.collect();
+    format!("version={version}\nroute=plain /plain/ app\n{routes}")
+}
+
+/// Reads the head of a response, at most until the time is over.
+async fn response_head(stream: &mut TcpStream, time: Duration) -> Option<String> {
+    let mut bytes = [0; 1 << 10];
+    let length = tokio::time::timeout(time, stream.read(&mut bytes)).await;
+    let length = length.ok()?.expect("no reset");
+    Some(String::from_utf8_lossy(&bytes[..length]).into_owned())
+}
+
+/// Bodies of operators were bounded one by one, at 16 MiB each, and held as long as their senders
+/// took.
+#[test]
+fn large_bodies_of_operators_at_once_are_refused_and_hold_up_no_heartbeat() {
+    const SENDERS: usize = 4;
+    fleet::run(async |deployment: &Deployment| {
+        let mut senders = Vec::new();
+        for _ in 0..SENDERS {
+            senders.push(deployment.begin_config(4 << 20).await);
+        }
+        let heartbeat = deployment.send_heartbeat(&deployment.backend, "ready", 2);
+        let heartbeat = tokio::time::timeout(Duration::from_millis(500), heartbeat).await;
+        heartbeat.expect("heartbeats have room of their own");
+        let mut refused = 0;
+        for sender in &mut senders {
+            let head = response_head(sender, Duration::from_millis(800)).await;
+            let Some(head) = head else { continue };
+            if head.starts_with("HTTP/1.1 503 ") {
+                assert!(head.contains("retry-after: 1\r\n"), "{head}");
+                refused += 1;
+            }
+        }
+        assert_eq!(refused, SENDERS - 1);
+        // The one that was admitted pauses too long and gives its room back.
+        let config = large_config(3);
+        assert!(
+            (4_000_000..4 << 20).contains(&config.len()),
+            "{}",
+            config.len()
+        );
+        let accepted = async {
+            while deployment.configure_with_reply(config.clone()).await.status != 200 {
+                tokio::time::sleep(Duration::from_millis(100)).await;
+            }
+        };
+        let accepted = tokio::time::timeout(Duration::from_secs(10), accepted).await;
+        accepted.expect("the configuration is accepted");
+        assert_eq!(deployment.read_config().await, config);
+    });
+}
+
+/// A body that can never be accepted would be sent again and again.
+#[test]
+fn a_body_that_never_finds_room_is_answered_with_413_and_the_limit() {
+    fleet::run(async |deployment: &Deployment| {
+        let reply = deployment.configure_with_reply("x".repeat(6 << 20)).await;
+        assert_eq!((reply.status, reply.retry_after), (413, None));
+        let text = String::from_utf8_lossy(&reply.body).into_owned();
+        assert!(text.starts_with("the body is longer than 4"), "{text}");
+        assert_eq!(deployment.configure("version=3\n").await, 200);
+    });
+}
--- a/crates/celerycove-gateway/tests/callers/fleet.rs
+++ b/crates/celerycove-gateway/tests/callers/fleet.rs
@@ -19,7 +19,11 @@
 use http_body_util::{BodyExt, Full};
 use hyper::{Request, Response, body::Incoming, client::conn::http1::handshake};
 use hyper_util::rt::TokioIo;
-use tokio::{io::AsyncReadExt, net::TcpStream, sync::watch};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    sync::watch,
+};
 
 use crate::{
     backend::{Backend, ExecutedRequest, Failure, Failures},
@@ -248,6 +252,26 @@
             .status
     }
 
+    /// Sends a configuration to the control instance and returns the response.
+    pub async fn configure_with_reply(&self, config: String) -> Reply {
+        self.call_control("PUT", "/config", config).await
+    }
+
+    /// Begins to send a configuration of the declared length: all of it but the last byte.
+    pub async fn begin_config(&self, length: usize) -> TcpStream {
+        let stream = TcpStream::connect(self.control_address);
+        let mut stream = stream.await.expect("a connection");
+        let head = format!("PUT /config HTTP/1.1\r\nhost: x\r\ncontent-length: {length}\r\n\r\n");
+        stream.write_all(head.as_bytes()).await.expect("sent");
+        tokio::spawn(async move {
+            // The instance may stop reading and respond.
+            let _ = stream.write_all(&vec![b'x'; length - 1]).await;
+            stream
+        })
+        .await
+        .expect("no panic")
+    }
+
     pub async fn read_config(&self) -> String {
         let reply = self.call_control("GET", "/config", String::new()).await;
         assert_eq!(reply.status, 200);
