--- a/crates/celerycove-gateway/src/metrics.rs
+++ b/crates/celerycove-gateway/src/metrics.rs
@@ -1,6 +1,13 @@
 //! Metrics of a process, exported in the Prometheus text format.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering::Relaxed},
+    },
+    time::Duration,
+};
 
 use hyper::{Request, Response, StatusCode, body::Incoming};
 use opentelemetry::{
@@ -11,7 +18,10 @@
 use prometheus::{Encoder, Registry, TextEncoder};
 use tokio::sync::watch;
 
-use crate::http::{self, Body};
+use crate::{
+    http::{self, Body},
+    memory::{self, Account, Part},
+};
 
 /// Why the metrics could not be set up or exported.
 #[derive(Debug, thiserror::Error)]
@@ -36,6 +46,12 @@
     turn_state_seconds: Histogram<f64>,
     log_lines_dropped: Gauge<u64>,
     log_output: std::sync::OnceLock<Arc<celerycove_log::Counters>>,
+    memory_bytes: Gauge<u64>,
+    memory_limit_bytes: Gauge<u64>,
+    resident_bytes: Gauge<u64>,
+    account: std::sync::OnceLock<Arc<Account>>,
+    /// Whether it was logged that the resident memory is unknown.
+    resident_unknown: AtomicBool,
 }
 
 impl Metrics {
@@ -59,6 +75,11 @@
             answer_seconds: meter.f64_histogram("celerycove_answer_seconds").build(),
             turn_state_seconds: meter.f64_histogram("celerycove_turn_state_seconds").build(),
             log_lines_dropped: meter.u64_gauge("celerycove_log_lines_dropped").build(),
+            memory_bytes: meter.u64_gauge("celerycove_memory_bytes").build(),
+            memory_limit_bytes: meter.u64_gauge("celerycove_memory_limit_bytes").build(),
+            resident_bytes: meter.u64_gauge("celerycove_resident_bytes").build(),
+            account: std::sync::OnceLock::new(),
+            resident_unknown: AtomicBool::new(false),
             registry,
             _provider: provider,
             log_output: std::sync::OnceLock::new(),
@@ -71,6 +92,36 @@
         let _ = self.log_output.set(output);
     }
 
+    /// Sets the account whose parts are exported.
+    pub fn set_account(&self, account: Arc<Account>) {
+        // A process has one account, so only the first call counts.
+        let _ = self.account.set(account);
+    }
+
+    /// Records what the parts of the process hold and may hold, and its resident memory.
+    fn record_memory(&self) {
+        let Some(account) = self.account.get() else {
+            return;
+        };
+        let number = |bytes| u64::try_from(bytes).unwrap_or(u64::MAX);
+        for part in Part::ALL {
+            let limit = account.limit(part);
+            if limit > 0 {
+                let label = [KeyValue::new("part", part.name())];
+                self.memory_bytes.record(number(account.used(part)), &label);
+                self.memory_limit_bytes.record(number(limit), &label);
+            }
+        }
+        let total = [KeyValue::new("part", "total")];
+        self.memory_limit_bytes
+            .record(number(account.budget().total()), &total);
+        match memory::resident_bytes() {
+            Some(bytes) => self.resident_bytes.record(bytes, &[]),
+            None if self.resident_unknown.swap(true, Relaxed) => {}
+            None => log::warn!(target: "run", "the system doesn't tell the resident memory"),
+        }
+    }
+
     /// Counts a response by route and status, and records how long the request took.
     pub fn record_response(&self, route: &str, status: u16, elapsed: Duration) {
         let labels = [
@@ -101,6 +152,7 @@
         if let Some(output) = self.log_output.get() {
             self.log_lines_dropped.record(output.counts().1, &[]);
         }
+        self.record_memory();
         let mut text = Vec::new();
         TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
         Ok(text)
@@ -137,3 +189,7 @@
         }
     }
 }
+
+#[cfg(test)]
+#[path = "metrics_tests.rs"]
+mod tests;
