--- a/crates/celerycove-gateway/src/control.rs
+++ b/crates/celerycove-gateway/src/control.rs
@@ -3,6 +3,7 @@
 //! Instances with a disk can be members of the control log. Those without one only pass on
 //! heartbeats and updates, and send commands to the leader, which commits them.
 
+mod admission;
 mod api;
 mod bootstrap;
 mod maintenance;
@@ -20,6 +21,7 @@
 use celerycove_disk::Store;
 use celerycove_fleet::{Change, Command, Config, Fleet, registry::Stage};
 use celerycove_limit::{Lease, Ownership, Request as LeaseRequest, fallback::reduced_entitlement};
+use celerycove_log::limit::Limit;
 use celerycove_route::direct::{Report, demand::Collector};
 use celerycove_types::{Set, Timestamp, id};
 use tokio::sync::{Notify, watch};
@@ -30,7 +32,8 @@
     clock,
     entry::rate_limit,
     http,
-    link::{self, Connections, Handler, Sender, lock},
+    link::{self, Connections, Encoded, Handler, Sender, lock},
+    memory::Account,
     message::{
         Frame, Peer, RelayedHeartbeat, Reply, RpcRequest, SequenceNumber, UNNUMBERED, Update, View,
         ViewUpdate,
@@ -57,9 +60,9 @@
 const LEASING_TIMEOUT: Duration = Duration::from_millis(300);
 /// Entries of the control log between snapshots.
 const SNAPSHOT_AFTER_ENTRIES: u64 = 1_024;
-/// The most bytes of entries that the control log holds: a tenth of the memory of the smallest
-/// instance, and an eighth of its disk.
-const MAX_LOG_BYTES: u64 = 8 << 20;
+
+/// Lines a second about requests without room for their bodies.
+const NO_ROOM_LINES: u32 = 1;
 
 /// A control process.
 pub struct Control {
@@ -89,6 +92,8 @@
     relayed_changes: Mutex<Vec<RelayedHeartbeat>>,
     maintenance: Mutex<maintenance::State>,
     bootstrap: Mutex<bootstrap::Bootstrap>,
+    /// Limits the lines about requests without room for their bodies.
+    no_room_lines: Mutex<Limit>,
 }
 
 /// Starts a control instance and returns the task that serves operators and backend servers. It ends
@@ -101,6 +106,7 @@
 pub async fn start(
     setup: Setup,
     dialect: Arc<dyn Dialect>,
+    account: Arc<Account>,
     stop: watch::Receiver<bool>,
 ) -> Result<tokio::task::JoinHandle<()>, Error> {
     let address = setup
@@ -116,7 +122,7 @@
         has_disk: setup.data_dir.is_some(),
         may_bootstrap: setup.may_bootstrap_log(),
     };
-    let connections = Connections::new(local_peer.clone());
+    let connections = Connections::new(local_peer.clone(), account.clone());
     let may_bootstrap = local_peer.may_bootstrap;
     let control = Arc::new_cyclic(|weak_self| Control {
         weak_self: weak_self.clone(),
@@ -135,6 +141,7 @@
         relayed_changes: Mutex::default(),
         maintenance: Mutex::default(),
         bootstrap: Mutex::new(bootstrap::Bootstrap::new(&setup)),
+        no_room_lines: Mutex::new(Limit::new(NO_ROOM_LINES)),
         setup,
     });
     connections.set_handler(control.clone());
@@ -142,7 +149,7 @@
         control.open_log(None)?;
     }
     let internal = control.setup.internal_address()?;
-    link::listen(internal, control.clone()).await?;
+    link::listen(internal, control.clone(), account).await?;
     control.connect(&control.setup.seed_processes());
     let listener = http::bind(address)?;
     let server = tokio::spawn(http::serve(listener, control.clone(), stop));
@@ -170,7 +177,7 @@
             initial_members.filter(|members| members.contains(&me)),
             storage,
             self.connections.clone(),
-            options(SNAPSHOT_AFTER_ENTRIES, MAX_LOG_BYTES),
+            options(SNAPSHOT_AFTER_ENTRIES),
             Box::new(move |state, index| control.apply(state, index)),
         )?;
         // Set only once: at the start, or later when the initial members are known.
@@ -540,10 +547,10 @@
             Frame::RequestView => {
                 let mut update = self.empty_update();
                 update.view = self.view().map(ViewUpdate::Whole);
-                if let Some(encoded) = link::encode(&Frame::Update(Box::new(update))) {
-                    log::info!(target: "spread", peer:% = peer, bytes = encoded.len();
+                if let Some(encoded) = Encoded::new(&Frame::Update(Box::new(update))) {
+                    log::info!(target: "spread", peer:% = peer, bytes = encoded.length();
                         "sending the whole state");
-                    sender.send_encoded(encoded);
+                    sender.send_encoded(&encoded);
                 }
             }
             Frame::Evidence(reports) => self.forward_reports(peer, reports),
--- a/crates/celerycove-gateway/src/store.rs
+++ b/crates/celerycove-gateway/src/store.rs
@@ -17,6 +17,7 @@
     clock,
     control::member_candidates,
     link::{self, Connections, Handler, Sender},
+    memory::Account,
     message::{Frame, Peer, Reply, RpcRequest, SequenceNumber},
     replica::{Replica, options},
     setup::Role,
@@ -25,9 +26,6 @@
 /// Entries of the stores' log between snapshots; each turn writes two. Writing a snapshot delays
 /// the log, and replaying the entries delays a start: about two seconds on a fifth of a core.
 const SNAPSHOT_AFTER_ENTRIES: u64 = 30_000;
-/// The most bytes of entries that the stores' log holds. Their texts are shared with the state until
-/// the turns expire, so most of them take no further memory.
-const MAX_LOG_BYTES: u64 = 32 << 20;
 /// How long a batch of commands may take to commit before its outcome counts as unknown.
 const COMMIT_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// How long the leader may take to reply to a request that this store passes on; shorter than an
@@ -54,20 +52,21 @@
 ///
 /// Returns an error if a setting is missing, a listener can't be opened, or the log on the disk
 /// can't be opened.
-pub async fn start(setup: Setup) -> Result<(), Error> {
+pub async fn start(setup: Setup, account: Arc<Account>) -> Result<(), Error> {
     let data = setup
         .data_dir
         .clone()
         .ok_or(Error::Missing("data directory"))?;
     let me = setup.process();
-    let connections = Connections::new(Peer {
+    let local_peer = Peer {
         process: me.clone(),
         role: Role::Store,
         instance: setup.instance.clone(),
         data_centre: setup.data_centre.clone(),
         has_disk: true,
         may_bootstrap: setup.may_bootstrap_log(),
-    });
+    };
+    let connections = Connections::new(local_peer, account.clone());
     let store = Arc::new_cyclic(|weak_self| Store {
         weak_self: weak_self.clone(),
         connections: connections.clone(),
@@ -80,7 +79,7 @@
     if Disk::has_log(&data) {
         store.open_log(None)?;
     }
-    link::listen(internal, store.clone()).await?;
+    link::listen(internal, store.clone(), account).await?;
     for control in store.setup.seed_processes() {
         store.connections.open(&control);
     }
@@ -103,7 +102,7 @@
             initial_members,
             Box::new(Disk::new(data)?),
             self.connections.clone(),
-            options(SNAPSHOT_AFTER_ENTRIES, MAX_LOG_BYTES),
+            options(SNAPSHOT_AFTER_ENTRIES),
             Box::new(|_, _| {}),
         )?;
         // Set only once: at the start, or later by the task that calls `run`.
