fix(entry): bound callers' bodies and responses by the memory of the instance

A caller's body was bounded at 4 MiB and the number of callers not at all, so slow callers could exceed the memory of an entry. Responses were bounded at 32 MiB together, whatever the instance had, and no longer counted once they had been read, although a slow caller may not have received them.

A declared length is now reserved before the body is read, any other as it arrives, and is held as long as the request. Without room the request is refused with 503 and Retry-After (NoMemory, not run). A quarter of the room is kept for bodies up to 64 KiB. A chain put before a turn's input counts too. Responses count until the caller has received them; one without room ends as 502, without blame on the backend server, and is not sent again. The cache of chains has its limit from the budget.

Test: eight callers that each keep back the last byte of 4 MiB. Before: "left: (0, 8) right: (6, 2)", all of them held. After: two are held and answered, six refused, and a short request is answered meanwhile. The bound on responses has no test of its own.

--- a/crates/celerycove-gateway/src/control/admission.rs
+++ b/crates/celerycove-gateway/src/control/admission.rs
@@ -10,7 +10,10 @@
 use hyper::body::{Body as _, Incoming};
 use tokio::time::timeout;
 
-use crate::memory::{Account, Grant, Part};
+use crate::{
+    http,
+    memory::{Account, Grant, Part},
+};
 
 /// The longest body that counts as short: many times a heartbeat.
 const MAX_SHORT_BYTES: usize = 16 << 10;
@@ -27,10 +30,6 @@
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// How long a sender may pause within a body: it keeps room from others.
 const PAUSE_TIMEOUT: Duration = Duration::from_secs(2);
-/// How long the rest of a rejected body is read and dropped. A connection that is closed with unread
-/// data is reset, and the sender may not see the response.
-const DISCARD_TIMEOUT: Duration = Duration::from_millis(500);
-
 /// Why a body is rejected.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Error {
@@ -63,8 +62,7 @@
     let reading = timeout(BODY_TIMEOUT, read_admitted(&mut body, account));
     let result = reading.await.unwrap_or(Err(Error::Incomplete));
     if result.is_err() {
-        // Whether the sender ends its body in time changes nothing.
-        let _ = timeout(DISCARD_TIMEOUT, discard(&mut body)).await;
+        http::discard(&mut body).await;
     }
     result
 }
@@ -118,7 +116,3 @@
         Err(_) => Err(Error::Incomplete),
     }
 }
-
-async fn discard(body: &mut Incoming) {
-    while let Some(Ok(_)) = body.frame().await {}
-}
--- a/crates/celerycove-gateway/src/entry.rs
+++ b/crates/celerycove-gateway/src/entry.rs
@@ -25,10 +25,11 @@
 
 use arc_swap::ArcSwapOption;
 use celerycove_fleet::{Fleet, Index, registry::Record};
+use celerycove_log::limit::Limit;
 use celerycove_route::direct::{Registration, Servers};
 use celerycove_types::{Timestamp, id};
 use hyper::{Request, Response, StatusCode, body::Incoming};
-use tokio::sync::{Semaphore, watch};
+use tokio::sync::watch;
 
 use crate::{
     Dialect, Error, Setup,
@@ -55,6 +56,9 @@
 /// Part of the grace period that is kept free for the exit of the process.
 const EXIT_MARGIN: Duration = Duration::from_millis(700);
 
+/// Lines a second about parts of the memory without room.
+const NO_ROOM_LINES: u32 = 1;
+
 /// State of an entry instance.
 pub struct Entry {
     setup: Setup,
@@ -70,10 +74,10 @@
     turns: Arc<turns::Client>,
     metrics: Arc<Metrics>,
     stopping: AtomicBool,
-    /// Bytes that may be used to buffer responses.
-    response_buffers: Arc<Semaphore>,
     /// Programs of which this entry has admitted a request recently.
     recent_programs: Mutex<recent::Programs>,
+    /// Limits the lines about parts of the memory without room.
+    no_room_lines: Mutex<Limit>,
 }
 
 /// A running entry.
@@ -119,8 +123,8 @@
         connections: connections.clone(),
         metrics,
         stopping: AtomicBool::new(false),
-        response_buffers: Arc::new(Semaphore::new(exchange::MAX_TOTAL_BUFFERED_BYTES)),
         recent_programs: Mutex::default(),
+        no_room_lines: Mutex::new(Limit::new(NO_ROOM_LINES)),
         setup,
     });
     connections.set_handler(entry.clone());
--- a/crates/celerycove-gateway/src/entry/exchange.rs
+++ b/crates/celerycove-gateway/src/entry/exchange.rs
@@ -14,8 +14,6 @@
     HeaderMap, Method, Request, StatusCode, Uri, body::Incoming, header, http::response::Parts,
 };
 
-use tokio::sync::Semaphore;
-
 use super::{
     Entry, Refusal,
     pool::{PooledConnection, SendError},
@@ -24,6 +22,7 @@
     clock,
     dialect::{Attempt, RequestMetadata, ResponseMetadata},
     link::lock,
+    memory::{Account, Part, Room},
 };
 
 /// A request with less time left than this is refused: sending it would waste a backend server's
@@ -34,8 +33,6 @@
 const MAX_TRIES: u32 = 5;
 /// Limit on a response that is buffered completely before it is forwarded.
 const MAX_BUFFERED_BYTES: usize = 16 << 20;
-/// Limit on all responses that are being buffered: part of the memory of the smallest instance.
-pub(super) const MAX_TOTAL_BUFFERED_BYTES: usize = 32 << 20;
 /// Multiple of the route's target latency after which a request that may be repeated is retried at
 /// another backend server.
 const RESPONSE_TIMEOUT_FACTOR: u32 = 3;
@@ -58,6 +55,8 @@
     pub(super) uri: Uri,
     pub(super) headers: HeaderMap,
     pub(super) body: Bytes,
+    /// The room that the body takes.
+    pub(super) body_room: Room,
     pub(super) started: Timestamp,
     /// When the request times out: the earlier of the caller's deadline and the route's timeout.
     pub(super) deadline: Timestamp,
@@ -142,11 +141,10 @@
         loop {
             let exchange = self.begin_response(self.call.last_event).await?;
             let status = exchange.head.status;
-            let Some(response) = self.buffer(exchange).await else {
-                if self.may_retry() {
-                    continue;
-                }
-                return Err(Refusal::Failed);
+            let response = match self.buffer(exchange).await {
+                Ok(response) => response,
+                Err(BufferError::Interrupted) if self.may_retry() => continue,
+                Err(_) => return Err(Refusal::Failed),
             };
             let failed = status.is_server_error();
             if !failed || !self.may_retry() {
@@ -333,8 +331,15 @@
         Ok(request)
     }
 
-    /// Reads a response to its end; returns `None` if it is interrupted or too long.
-    pub(super) async fn buffer(&mut self, exchange: Exchange) -> Option<BufferedResponse> {
+    /// Reads a response to its end.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it is interrupted or too long, or if there is no room for it.
+    pub(super) async fn buffer(
+        &mut self,
+        exchange: Exchange,
+    ) -> Result<BufferedResponse, BufferError> {
         let Exchange {
             choice,
             head,
@@ -344,13 +349,23 @@
         } = exchange;
         let left = self.deadline.saturating_sub(clock::now());
         let guard = InFlightGuard::new(self, &choice);
-        let collected = collect(body, &self.entry.response_buffers);
+        let collected = collect(body, self.entry.connections.account());
         let collected = tokio::time::timeout(left, collected).await;
         guard.disarm();
-        let Ok(Some(collected)) = collected else {
-            self.record_attempt(&choice, Outcome::Failed, "broken off", &head.status);
-            self.excluded.push(choice.backend);
-            return None;
+        let collected = match collected.unwrap_or(Err(BufferError::Interrupted)) {
+            Ok(collected) => collected,
+            Err(BufferError::NoRoom) => {
+                // The backend server is not to blame.
+                let detail = &head.status;
+                self.record_attempt(&choice, Outcome::Abandoned, "no memory", detail);
+                self.entry.log_no_room(Part::Responses);
+                return Err(BufferError::NoRoom);
+            }
+            Err(BufferError::Interrupted) => {
+                self.record_attempt(&choice, Outcome::Failed, "broken off", &head.status);
+                self.excluded.push(choice.backend);
+                return Err(BufferError::Interrupted);
+            }
         };
         if keeps_alive(&head) {
             connection.release(metadata.idle_timeout);
@@ -365,7 +380,7 @@
         } else {
             self.record_attempt(&choice, Outcome::Answered, "answered", &head.status);
         }
-        Some(BufferedResponse {
+        Ok(BufferedResponse {
             head,
             body: collected,
         })
@@ -409,21 +424,43 @@
     }
 }
 
-/// Reads a body to its end. Returns `None` if it is interrupted, or if it exceeds the limit on one
-/// body or on all that are being read.
-async fn collect(body: Incoming, buffers: &Arc<Semaphore>) -> Option<Bytes> {
+/// Why a response was not read to its end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum BufferError {
+    /// It was interrupted, took too long, or exceeds the limit on one response.
+    Interrupted,
+    /// Other responses take the memory that it needs.
+    NoRoom,
+}
+
+/// Bytes with the room that they take until the caller has received them.
+struct Counted {
+    bytes: BytesMut,
+    _room: Room,
+}
+
+impl AsRef<[u8]> for Counted {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+/// Reads a body to its end.
+async fn collect(body: Incoming, account: &Arc<Account>) -> Result<Bytes, BufferError> {
     let mut body = Limited::new(body, MAX_BUFFERED_BYTES);
-    let mut collected = BytesMut::new();
-    let mut reserved = Vec::new();
+    let mut bytes = BytesMut::new();
+    let mut room = account.empty(Part::Responses);
     while let Some(frame) = body.frame().await {
-        let Ok(data) = frame.ok()?.into_data() else {
+        let frame = frame.map_err(|_| BufferError::Interrupted)?;
+        let Ok(data) = frame.into_data() else {
             continue;
         };
-        let length = u32::try_from(data.len()).ok()?;
-        reserved.push(buffers.clone().try_acquire_many_owned(length).ok()?);
-        collected.extend_from_slice(&data);
+        if !room.try_extend(data.len()) {
+            return Err(BufferError::NoRoom);
+        }
+        bytes.extend_from_slice(&data);
     }
-    Some(collected.freeze())
+    Ok(Bytes::from_owner(Counted { bytes, _room: room }))
 }
 
 /// Returns whether the connection stays open after a response.
--- a/crates/celerycove-gateway/src/entry/refuse.rs
+++ b/crates/celerycove-gateway/src/entry/refuse.rs
@@ -30,6 +30,8 @@
     TooLong,
     /// The request's body was not received completely or in time.
     BodyBroken,
+    /// Other requests take the memory that the request needs.
+    NoMemory,
     /// The organisation exceeds its rate limit; a token is expected after the given time.
     OverRate(Duration),
     /// The program's remaining token budget is smaller than the turn may need.
@@ -53,7 +55,7 @@
 /// `Retry-After` for refusals without a better estimate: about the time in which a failed leader is
 /// replaced.
 const RETRY_AFTER_UNAVAILABLE: Duration = Duration::from_millis(400);
-/// `Retry-After` if the backend servers are at capacity: about the duration of one request.
+/// `Retry-After` if the backend servers or this instance's memory are at capacity: about the duration of one request.
 const RETRY_AFTER_FULL: Duration = Duration::from_millis(150);
 
 impl Refusal {
@@ -71,9 +73,12 @@
             Self::OverRate(_) => StatusCode::TOO_MANY_REQUESTS,
             Self::Failed => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
-            Self::NotReady | Self::NoStore(_) | Self::NoServer | Self::Declined | Self::TooLate => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::NotReady
+            | Self::NoMemory
+            | Self::NoStore(_)
+            | Self::NoServer
+            | Self::Declined
+            | Self::TooLate => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 
@@ -88,7 +93,7 @@
         match self {
             Self::OverRate(delay) | Self::NoStore(delay) => Some(delay.max(RETRY_AFTER_FULL)),
             Self::NotReady | Self::NoServer => Some(RETRY_AFTER_UNAVAILABLE),
-            Self::Declined => Some(RETRY_AFTER_FULL),
+            Self::NoMemory | Self::Declined => Some(RETRY_AFTER_FULL),
             _ => None,
         }
     }
--- a/crates/celerycove-gateway/src/entry/serve.rs
+++ b/crates/celerycove-gateway/src/entry/serve.rs
@@ -10,6 +10,7 @@
     Index,
     config::{Kind, Organisation, Route},
 };
+use celerycove_log::limit;
 use celerycove_route::direct::affinity_hash;
 use celerycove_turn::{Begin, Outcome};
 use celerycove_types::{Timestamp, id};
@@ -33,6 +34,7 @@
     dialect::RequestMetadata,
     http::{self, Body, BodyError},
     link::lock,
+    memory::{Part, Room},
 };
 
 /// Time limit for the stores to begin a turn; after that the caller is told to retry.
@@ -114,10 +116,11 @@
             .clone()
             .ok_or(Refusal::Malformed("request id"))?;
         let limit = admitted.index.config().limits.body_bytes;
-        let body = http::read_body(body, limit).await;
+        let body = http::read_body(body, limit, self.connections.account()).await;
         let body = body.map_err(|error| match error {
             BodyError::TooLong => Refusal::TooLong,
             BodyError::Incomplete => Refusal::BodyBroken,
+            BodyError::NoRoom => self.refuse_for_memory(Part::CallerBodies),
         })?;
         let claim = self.token_claim(&admitted, &call);
         if let Some(organisation) = &admitted.organisation {
@@ -140,6 +143,21 @@
         result
     }
 
+    /// Logs that a part has no room for a request, and returns the refusal.
+    fn refuse_for_memory(&self, part: Part) -> Refusal {
+        self.log_no_room(part);
+        Refusal::NoMemory
+    }
+
+    /// Logs that a part has no room.
+    pub(super) fn log_no_room(&self, part: Part) {
+        if let Some(limit::Admitted { held_back }) = lock(&self.no_room_lines).admit(clock::now()) {
+            let account = self.connections.account();
+            log::warn!(target: "entry", part = part.name(), used = account.used(part),
+                limit = account.limit(part), held_back; "no room in a part of the memory");
+        }
+    }
+
     /// Spends a token of the organisation's rate limit and records that the program was admitted.
     async fn spend_token(
         &self,
@@ -209,7 +227,7 @@
         self: Arc<Self>,
         started: Timestamp,
         head: Parts,
-        body: Bytes,
+        (body, body_room): (Bytes, Room),
         call: RequestMetadata,
         request: id::Request,
         admitted: Admitted,
@@ -242,6 +260,7 @@
             uri: head.uri,
             headers,
             body,
+            body_room,
             started,
             deadline: started + timeout.min(route.timeout),
             caller_deadline: started + timeout,
@@ -298,7 +317,7 @@
     if dispatch.route.stores_turns || dispatch.call.budget.is_some() {
         let (guard, chain) = begin_turn(&dispatch).await?;
         if dispatch.route.stores_turns {
-            retained = Some(prepend_chain(&mut dispatch, chain));
+            retained = Some(prepend_chain(&mut dispatch, chain)?);
         }
         reservation = Some(guard);
     }
@@ -309,7 +328,8 @@
         .get(header::CONTENT_TYPE)
         .is_some_and(|kind| kind.as_bytes().starts_with(b"text/event-stream"));
     if !is_stream || !exchange.head.status.is_success() {
-        let response = dispatch.buffer(exchange).await.ok_or(Refusal::Failed)?;
+        let response = dispatch.buffer(exchange).await;
+        let response = response.map_err(|_| Refusal::Failed)?;
         return Ok(complete_response(&dispatch, response));
     }
     let service = dispatch.index.service(&dispatch.service);
@@ -391,18 +411,21 @@
 }
 
 /// Prepends the chain to the turn's input, since the engine needs the whole history.
-fn prepend_chain(dispatch: &mut Dispatch, chain: Chain) -> RetainedTurn {
+fn prepend_chain(dispatch: &mut Dispatch, chain: Chain) -> Result<RetainedTurn, Refusal> {
     let input = dispatch.body.clone();
     let length = chain.iter().map(Bytes::len).sum::<usize>() + input.len();
+    if !dispatch.body_room.try_extend(length) {
+        return Err(dispatch.entry.refuse_for_memory(Part::CallerBodies));
+    }
     let mut body = BytesMut::with_capacity(length);
     for text in chain.iter() {
         body.extend_from_slice(text);
     }
     body.extend_from_slice(&input);
     dispatch.body = body.freeze();
-    RetainedTurn {
+    Ok(RetainedTurn {
         previous: dispatch.call.previous_turn.clone(),
         chain,
         text: BytesMut::from(&input[..]),
-    }
+    })
 }
--- a/crates/celerycove-gateway/src/entry/turns.rs
+++ b/crates/celerycove-gateway/src/entry/turns.rs
@@ -83,14 +83,14 @@
 impl Client {
     pub(super) fn start(connections: Arc<Connections>, metrics: Arc<Metrics>) -> Arc<Self> {
         let client = Arc::new(Self {
-            connections,
             metrics,
             stores: Mutex::default(),
             outage: Mutex::default(),
             queue: Mutex::default(),
             wake: Notify::new(),
-            chains: Mutex::default(),
+            chains: Mutex::new(Cache::new(connections.account().clone())),
             batches_in_flight: AtomicUsize::new(0),
+            connections,
         });
         tokio::spawn(client.clone().run());
         tokio::spawn(client.clone().probe_stores());
--- a/crates/celerycove-gateway/src/http.rs
+++ b/crates/celerycove-gateway/src/http.rs
@@ -2,9 +2,14 @@
 
 use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited, combinators::UnsyncBoxBody};
-use hyper::{Request, Response, StatusCode, body::Incoming, header, service::service_fn};
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody};
+use hyper::{
+    Request, Response, StatusCode,
+    body::{Body as _, Incoming},
+    header,
+    service::service_fn,
+};
 use hyper_util::{
     rt::{TokioIo, TokioTimer},
     server::graceful::GracefulShutdown,
@@ -14,7 +19,10 @@
     sync::watch,
 };
 
-use crate::Error;
+use crate::{
+    Error,
+    memory::{Account, Part, Room},
+};
 
 /// The error type of bodies that are passed to hyper.
 pub type BoxError = Box<dyn std::error::Error + Send + Sync>;
@@ -28,6 +36,12 @@
 const LISTEN_BACKLOG: u32 = 1_024;
 /// Time limit for receiving the body of a request.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// How long the rest of a rejected body is read before the response is sent.
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(500);
+/// The longest body that may use the part of the room that is kept for short ones.
+const MAX_SHORT_BYTES: usize = 64 << 10;
+/// The part of the room for callers' bodies that is kept for short ones.
+const SHORT_BODIES_DIVISOR: usize = 4;
 /// The smallest connection buffer that hyper accepts.
 const MIN_BUFFER_BYTES: usize = 8 << 10;
 /// A connection is closed when the peer acknowledges no data for this long: a network partition
@@ -210,18 +224,87 @@
     /// The connection failed before the end of the body, or the body took too long.
     #[error("the body broke off")]
     Incomplete,
+    /// Other callers' bodies take the memory that it needs.
+    #[error("there is no memory for the body")]
+    NoRoom,
 }
 
-/// Reads a whole body of at most `limit` bytes within ten seconds.
+/// Reads a whole body of at most `limit` bytes within ten seconds, and returns it with the room that it
+/// takes. A declared length is reserved before the body is read, any other as the body arrives.
 ///
 /// # Errors
 ///
-/// Returns an error if the body is longer, takes longer, or breaks off.
-pub async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, BodyError> {
-    let collected = Limited::new(body, limit).collect();
-    match tokio::time::timeout(BODY_TIMEOUT, collected).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => Err(BodyError::TooLong),
-        Ok(Err(_)) | Err(_) => Err(BodyError::Incomplete),
+/// Returns an error if the body is longer, takes longer, breaks off, or finds no room.
+pub async fn read_body(
+    mut body: Incoming,
+    limit: usize,
+    account: &Arc<Account>,
+) -> Result<(Bytes, Room), BodyError> {
+    let reading = read_counted(&mut body, limit, account);
+    let reading = tokio::time::timeout(BODY_TIMEOUT, reading).await;
+    let result = reading.unwrap_or(Err(BodyError::Incomplete));
+    if result.is_err() {
+        discard(&mut body).await;
+    }
+    result
+}
+
+async fn read_counted(
+    body: &mut Incoming,
+    limit: usize,
+    account: &Arc<Account>,
+) -> Result<(Bytes, Room), BodyError> {
+    let mut room = account.empty(Part::CallerBodies);
+    let Some(length) = body.size_hint().exact() else {
+        let mut bytes = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|_| BodyError::Incomplete)?;
+            let Some(data) = frame.data_ref() else {
+                continue;
+            };
+            let length = bytes.len() + data.len();
+            if length > limit {
+                return Err(BodyError::TooLong);
+            }
+            reserve(&mut room, data.len(), length, account)?;
+            bytes.extend_from_slice(data);
+        }
+        return Ok((bytes.freeze(), room));
+    };
+    let length = usize::try_from(length).unwrap_or(usize::MAX);
+    if length > limit {
+        return Err(BodyError::TooLong);
     }
+    reserve(&mut room, length, length, account)?;
+    let collected = body.collect().await;
+    let collected = collected.map_err(|_| BodyError::Incomplete)?;
+    Ok((collected.to_bytes(), room))
+}
+
+/// Reserves `bytes` more of a body of `length` bytes so far.
+fn reserve(
+    room: &mut Room,
+    bytes: usize,
+    length: usize,
+    account: &Account,
+) -> Result<(), BodyError> {
+    let limit = account.limit(Part::CallerBodies);
+    let limit = if length > MAX_SHORT_BYTES {
+        limit - limit / SHORT_BODIES_DIVISOR
+    } else {
+        limit
+    };
+    if room.try_extend_within(bytes, limit) {
+        Ok(())
+    } else {
+        Err(BodyError::NoRoom)
+    }
+}
+
+/// Reads and drops the rest of a rejected body, as far as it arrives soon. A connection that is closed
+/// with unread data is reset, and its client may not see the response.
+pub(crate) async fn discard(body: &mut Incoming) {
+    let reading = async { while let Some(Ok(_)) = body.frame().await {} };
+    // Whether the client ends its body in time changes nothing.
+    let _ = tokio::time::timeout(DISCARD_TIMEOUT, reading).await;
 }
--- a/crates/celerycove-gateway/src/memory.rs
+++ b/crates/celerycove-gateway/src/memory.rs
@@ -296,7 +296,12 @@
     /// Reserves more, unless the part would exceed its limit. Returns whether it did.
     #[must_use]
     pub fn try_extend(&mut self, bytes: usize) -> bool {
-        let limit = self.account.limit(self.part);
+        self.try_extend_within(bytes, self.account.limit(self.part))
+    }
+
+    /// Reserves more, unless the part would then hold more than `limit` bytes. Returns whether it did.
+    #[must_use]
+    pub fn try_extend_within(&mut self, bytes: usize, limit: usize) -> bool {
         let used = &self.account.used[self.part as usize];
         let extended = used.fetch_update(Relaxed, Relaxed, |used| {
             used.checked_add(bytes).filter(|sum| *sum <= limit)
--- a/crates/celerycove-gateway/tests/callers.rs
+++ b/crates/celerycove-gateway/tests/callers.rs
@@ -12,7 +12,10 @@
 
 use backend::Failure;
 use fleet::{Deployment, Reply};
-use tokio::{io::AsyncReadExt, net::TcpStream};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
 
 #[test]
 fn a_request_is_forwarded_with_the_organisation_and_without_the_key() {
@@ -418,3 +421,37 @@
         assert_eq!(deployment.configure("version=3\n").await, 200);
     });
 }
+
+/// Bodies of callers were bounded one by one, and held as long as their senders took.
+#[test]
+fn bodies_of_many_slow_callers_are_refused_and_leave_room_for_short_requests() {
+    const CALLERS: usize = 8;
+    fleet::run(async |deployment: &Deployment| {
+        let mut callers = Vec::new();
+        for number in 0..CALLERS {
+            let id = format!("large-{number}");
+            callers.push(deployment.begin_call(&id, 4 << 20).await);
+        }
+        let short = deployment.call("short", "/plain/x", Some("key-1")).await;
+        assert_eq!(short.status, 200);
+        let (mut refused, mut waiting) = (0, Vec::new());
+        for mut caller in callers {
+            match response_head(&mut caller, Duration::from_millis(800)).await {
+                Some(head) => {
+                    assert!(head.starts_with("HTTP/1.1 503 "), "{head}");
+                    assert!(head.contains("retry-after: 0.150\r\n"), "{head}");
+                    refused += 1;
+                }
+                None => waiting.push(caller),
+            }
+        }
+        // The instance of 88 MB holds 14 MB of bodies, a quarter of which is kept for short ones.
+        assert_eq!((refused, waiting.len()), (CALLERS - 2, 2));
+        for mut caller in waiting {
+            caller.write_all(b"x").await.expect("sent");
+            let head = response_head(&mut caller, Duration::from_secs(5)).await;
+            assert!(head.is_some_and(|head| head.starts_with("HTTP/1.1 200 ")));
+        }
+        assert_eq!(deployment.executed_requests().len(), 3);
+    });
+}
--- a/crates/celerycove-gateway/tests/callers/fleet.rs
+++ b/crates/celerycove-gateway/tests/callers/fleet.rs
@@ -272,6 +272,21 @@
         .expect("no panic")
     }
 
+    /// Begins a request whose body has the given length: all of it but the last byte. The body is sent
+    /// in the background, as far as the entry reads it.
+    pub async fn begin_call(&self, id: &str, length: usize) -> TcpStream {
+        let stream = TcpStream::connect(self.caller_address);
+        let mut stream = stream.await.expect("a connection");
+        let head = format!(
+            "POST /plain/x HTTP/1.1\r\nhost: test\r\nid: {id}\r\nkey: key-1\r\n\
+             content-length: {length}\r\n\r\n"
+        );
+        stream.write_all(head.as_bytes()).await.expect("sent");
+        // The entry may stop reading and respond.
+        let _ = stream.write_all(&vec![b'x'; length - 1]).await;
+        stream
+    }
+
     pub async fn read_config(&self) -> String {
         let reply = self.call_control("GET", "/config", String::new()).await;
         assert_eq!(reply.status, 200);
