--- a/crates/celerycove-gateway/src/entry.rs
+++ b/crates/celerycove-gateway/src/entry.rs
@@ -6,6 +6,7 @@
 mod exchange;
 mod hop;
 mod outage;
+mod outbox;
 mod pool;
 pub(crate) mod rate_limit;
 mod recent;
--- a/crates/celerycove-gateway/src/entry/relay.rs
+++ b/crates/celerycove-gateway/src/entry/relay.rs
@@ -7,15 +7,13 @@
 use celerycove_route::direct::Outcome;
 use celerycove_turn::{End, Keep};
 use celerycove_types::{Timestamp, id};
-use futures_util::stream;
-use http_body_util::{BodyExt, StreamBody};
-use hyper::body::Frame;
-use tokio::sync::mpsc;
+use http_body_util::BodyExt;
 
 use super::{
     chains::Chain,
     events::Splitter,
     exchange::{Dispatch, Exchange, InFlightGuard, keeps_alive},
+    outbox,
     turns::Client as TurnClient,
 };
 use crate::{
@@ -24,13 +22,9 @@
     link::lock,
 };
 
-/// Limit on chunks that wait for a slow caller.
-const CHUNK_QUEUE_LENGTH: usize = 32;
 /// Gap between a stream's events after which it is resumed at another backend server, if it may be.
 const MAX_EVENT_GAP: Duration = Duration::from_millis(1_200);
 
-type Chunk = Result<Frame<Bytes>, BoxError>;
-
 /// Reservation of a turn's tokens in the stores. Dropping it settles the reservation, so that this
 /// happens however the turn ends.
 pub(super) struct ReservationGuard {
@@ -106,15 +100,13 @@
 impl Relay {
     /// Forwards the stream in a separate task and returns the body that the caller reads.
     pub(super) fn start(self, exchange: Exchange) -> Body {
-        let (sender, receiver) = mpsc::channel::<Chunk>(CHUNK_QUEUE_LENGTH);
+        let account = self.dispatch.entry.connections.account().clone();
+        let (sender, body) = outbox::new(account);
         tokio::spawn(self.run(exchange, sender));
-        let chunks = stream::unfold(receiver, |mut receiver| async move {
-            receiver.recv().await.map(|chunk| (chunk, receiver))
-        });
-        StreamBody::new(chunks).boxed_unsync()
+        body
     }
 
-    async fn run(mut self, exchange: Exchange, sender: mpsc::Sender<Chunk>) {
+    async fn run(mut self, exchange: Exchange, sender: outbox::Sender) {
         let mut next_exchange = Some(exchange);
         let stop = loop {
             let Some(exchange) = next_exchange.take() else {
@@ -143,11 +135,11 @@
             // The body ends with an error, so that the caller does not take the response for
             // complete.
             let error = BoxError::from(format!("the stream ended early: {stop:?}"));
-            let _ = sender.send(Err(error)).await;
+            sender.fail(error).await;
         }
     }
 
-    async fn forward(&mut self, exchange: Exchange, sender: &mpsc::Sender<Chunk>) -> Stop {
+    async fn forward(&mut self, exchange: Exchange, sender: &outbox::Sender) -> Stop {
         let Exchange {
             choice,
             head,
@@ -245,7 +237,7 @@
         &mut self,
         splitter: &mut Splitter,
         data: &Bytes,
-        sender: &mpsc::Sender<Chunk>,
+        sender: &outbox::Sender,
     ) -> Result<(), Stop> {
         splitter
             .push(data)
@@ -284,7 +276,7 @@
         }
         // A caller that no longer reads would otherwise keep the stream open.
         let left = self.dispatch.caller_deadline.saturating_sub(clock::now());
-        let sent = sender.send(Ok(Frame::data(out.freeze())));
+        let sent = sender.send(out.freeze());
         match tokio::time::timeout(left, sent).await {
             Ok(sent) => sent.map_err(|_| Stop::CallerLeft),
             Err(_) => Err(Stop::TimedOut),
@@ -292,7 +284,7 @@
     }
 
     /// Commits a complete turn to the stores before the caller sees the end of the stream.
-    async fn store_turn(&mut self, sender: &mpsc::Sender<Chunk>) -> Stop {
+    async fn store_turn(&mut self, sender: &outbox::Sender) -> Stop {
         let (Some(retained), Some(mut reservation)) =
             (self.retained.take(), self.reservation.take())
         else {
