test: a request that crashes backend servers is sent on without end

Callers repeat a request that crashes each backend server which begins to run it, at alternating entries. The entries know what failed only inside one request.

--- a/crates/celerycove-gateway/tests/callers/dialect.rs
+++ b/crates/celerycove-gateway/tests/callers/dialect.rs
@@ -79,12 +79,16 @@
 
     fn heartbeat(&self, backend: &id::Backend, body: &[u8]) -> Result<Heartbeat, MalformedField> {
         let text = String::from_utf8_lossy(body);
-        let [address, stage, seq] = text.split(' ').collect::<Vec<_>>()[..] else {
-            return Err(MalformedField { field: "beat" });
+        let words: Vec<_> = text.split(' ').collect();
+        // The incarnation may be left out.
+        let (address, stage, seq, born) = match words[..] {
+            [address, stage, seq] => (address, stage, seq, "1"),
+            [address, stage, seq, born] => (address, stage, seq, born),
+            _ => return Err(MalformedField { field: "beat" }),
         };
         Ok(Heartbeat {
             backend: backend.clone(),
-            started_at_ms: 1,
+            started_at_ms: born.parse().map_err(|_| MalformedField { field: "born" })?,
             sequence: seq.parse().map_err(|_| MalformedField { field: "seq" })?,
             service: "app".into(),
             address: address
--- /dev/null
+++ b/crates/celerycove-gateway/tests/crashes.rs
@@ -0,0 +1,64 @@
+//! Tests of two entries and a control instance on loopback, with backend servers that a certain
+//! request crashes: each ends its listener and its connections, and is back some time later under a
+//! new incarnation.
+
+#[path = "crashes/deployment.rs"]
+mod deployment;
+#[path = "callers/dialect.rs"]
+mod dialect;
+
+use std::time::Duration;
+
+use deployment::{CRASH, Deployment, RESET};
+
+/// How often the caller sends the request again: each attempt runs on up to three backend servers.
+const REPEATS: usize = 20;
+/// Crashes before the request must be held back, and the runs that may follow while the evidence
+/// spreads.
+const MAX_RUNS: usize = 3 + 3;
+
+/// Repeats the request that crashes backend servers at alternating entries, with an ordinary request
+/// after each, and checks how often it ran and that the ordinary ones are served.
+async fn assert_held_back(deployment: &Deployment, path: &str) {
+    let mut ordinary = Vec::new();
+    let mut last = 0;
+    for number in 0..REPEATS {
+        let id = format!("crash-{number}");
+        last = deployment.call(number % 2, &id, path, CRASH).await.status;
+        // Longer than the evidence takes to the other entry.
+        tokio::time::sleep(Duration::from_millis(60)).await;
+        let id = format!("ordinary-{number}");
+        let reply = deployment.call(number % 2, &id, path, "ordinary").await;
+        ordinary.push(reply.status);
+    }
+    let runs = deployment.runs_of(CRASH);
+    assert!(runs <= MAX_RUNS, "ran {runs} times");
+    assert!(runs >= 3, "held back after {runs} runs");
+    assert_eq!(last, 503);
+    assert!(ordinary.iter().all(|status| *status == 200), "{ordinary:?}");
+}
+
+/// Guards against a request that crashes server after server before it is answered.
+#[test]
+fn a_request_that_crashes_servers_is_held_back_at_all_entries() {
+    deployment::run(async |deployment| assert_held_back(deployment, "/plain/x").await);
+}
+
+/// Guards against one that crashes them in the middle of a stream, which is resumed elsewhere.
+#[test]
+fn a_stream_that_crashes_servers_is_held_back_at_all_entries() {
+    deployment::run(async |deployment| assert_held_back(deployment, "/resumable/x").await);
+}
+
+/// Guards against taking lost answers and reset connections of servers that live for crashes.
+#[test]
+fn a_request_whose_connection_is_reset_by_servers_that_live_is_not_held_back() {
+    deployment::run(async |deployment| {
+        for number in 0..4 {
+            let id = format!("reset-{number}");
+            let reply = deployment.call(number % 2, &id, "/plain/x", RESET).await;
+            assert_eq!(reply.status, 502);
+        }
+        assert_eq!(deployment.runs_of(RESET), 12);
+    });
+}
--- /dev/null
+++ b/crates/celerycove-gateway/tests/crashes/deployment.rs
@@ -0,0 +1,333 @@
+//! A control instance, two entries and backend servers that end and start again, all run as tasks of
+//! the test process.
+
+use std::{
+    net::{SocketAddr, TcpListener as StdListener},
+    path::PathBuf,
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicU64, Ordering::SeqCst},
+    },
+    time::Duration,
+};
+
+use bytes::Bytes;
+use celerycove_gateway::{
+    Setup, control, entry,
+    metrics::Metrics,
+    setup::{ListenAddresses, Role, TimeLimits},
+};
+use http_body_util::{BodyExt, Full};
+use hyper::{Request, client::conn::http1::handshake};
+use hyper_util::rt::TokioIo;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    sync::{Notify, watch},
+    task::JoinSet,
+};
+
+use crate::dialect::TestDialect;
+
+/// The body that ends each backend server which begins to run it.
+pub const CRASH: &str = "crash";
+/// The body whose connection is closed by each backend server, which lives on.
+pub const RESET: &str = "reset";
+
+/// Held while a deployment runs: with one at a time, ports that were found free stay free.
+static DEPLOYMENT_LOCK: Mutex<()> = Mutex::new(());
+/// Candidate ports, apart from those of the other tests.
+const PORTS: std::ops::Range<u16> = 29_000..32_000;
+const BLOCK_PORTS: u16 = 10;
+/// How long a backend server is gone after a crash.
+const RESTART_DELAY: Duration = Duration::from_millis(400);
+const SERVERS: usize = 10;
+const CONFIG: &str = "version=2\nroute=plain /plain/ app\nroute=once /once/ app\n\
+    route=resumable /resumable/ app\n";
+
+/// Starts a deployment and runs a test against it.
+pub fn run(test: impl AsyncFnOnce(&Deployment)) {
+    let _guard = DEPLOYMENT_LOCK
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner);
+    let (_claim, first_port) = claim_ports();
+    let folder = std::env::temp_dir().join(format!("celerycove-crashes-{first_port}"));
+    // An interrupted run may have left the directory.
+    let _ = std::fs::remove_dir_all(&folder);
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    runtime.block_on(async {
+        let deployment = Deployment::start(first_port, folder.clone()).await;
+        test(&deployment).await;
+    });
+    // The next run removes what can't be removed here.
+    let _ = std::fs::remove_dir_all(&folder);
+}
+
+/// Claims a block of ports that are free on both addresses by binding its first one, and returns the
+/// second.
+fn claim_ports() -> (StdListener, u16) {
+    let bind = |host: [u8; 4], port: u16| StdListener::bind(SocketAddr::from((host, port))).ok();
+    let blocks = (PORTS.end - PORTS.start) / BLOCK_PORTS;
+    let start = u16::try_from(std::process::id() % u32::from(blocks)).expect("small");
+    (0..blocks)
+        .map(|offset| PORTS.start + (start + offset) % blocks * BLOCK_PORTS)
+        .find_map(|first| {
+            let claim = bind([127, 0, 0, 1], first)?;
+            let is_free = (first + 1..first + BLOCK_PORTS).all(|port| {
+                bind([127, 0, 0, 1], port).is_some() && bind([127, 0, 0, 2], port).is_some()
+            });
+            is_free.then_some((claim, first + 1))
+        })
+        .expect("free ports")
+}
+
+pub struct Reply {
+    pub status: u16,
+}
+
+pub struct Deployment {
+    callers: [SocketAddr; 2],
+    control_address: SocketAddr,
+    bodies: Bodies,
+    _stop: watch::Sender<bool>,
+    _entries: Vec<entry::Running>,
+}
+
+/// The bodies of the requests that ran, in order.
+type Bodies = Arc<Mutex<Vec<String>>>;
+
+impl Deployment {
+    async fn start(first_port: u16, folder: PathBuf) -> Self {
+        let address =
+            |host: u8, offset: u16| SocketAddr::from(([127, 0, 0, host], first_port + offset));
+        let setup = |role: Role, host: u8, data: Option<PathBuf>| Setup {
+            role,
+            instance: format!("{}-{host}", role.name()).into(),
+            data_centre: "a".into(),
+            data_centres: vec!["a".into()],
+            ip: address(host, 0).ip(),
+            internal_port: first_port,
+            listen: ListenAddresses {
+                callers: Some(address(host, 3)),
+                ready: Some(address(host, 4)),
+                control: Some(address(host, 5)),
+                metrics: None,
+                internal: None,
+            },
+            seeds: vec![address(1, 5)],
+            bootstrap: true,
+            data_dir: data,
+            tolerated_failures: 1,
+            bounds: TimeLimits {
+                grace_period: Duration::from_secs(8),
+                replacement: Duration::from_secs(4),
+            },
+        };
+        std::fs::create_dir_all(&folder).expect("a folder");
+        let (stop, stopped) = watch::channel(false);
+        control::start(
+            setup(Role::Control, 1, Some(folder)),
+            Arc::new(TestDialect),
+            stopped,
+        )
+        .await
+        .expect("a control instance");
+        let mut entries = Vec::new();
+        for host in [1, 2] {
+            let metrics = Metrics::new().expect("metrics");
+            let running = entry::start(
+                setup(Role::Entry, host, None),
+                Arc::new(TestDialect),
+                metrics,
+            );
+            entries.push(running.await.expect("an entry"));
+        }
+        let deployment = Self {
+            callers: [address(1, 3), address(2, 3)],
+            control_address: address(1, 5),
+            bodies: Bodies::default(),
+            _stop: stop,
+            _entries: entries,
+        };
+        deployment.wait_until_serving().await;
+        deployment
+    }
+
+    async fn wait_until_serving(&self) {
+        let serving = async {
+            while send(self.control_address, "PUT", "/config", None, CONFIG)
+                .await
+                .is_none_or(|reply| reply.status != 200)
+            {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+            for number in 0..SERVERS {
+                let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+                let server = Server {
+                    name: format!("b{number}"),
+                    address: listener.local_addr().expect("an address"),
+                    control: self.control_address,
+                    bodies: self.bodies.clone(),
+                    born: AtomicU64::new(1),
+                    crashed: Notify::new(),
+                };
+                tokio::spawn(Arc::new(server).run(listener));
+            }
+            for entry in [0, 1] {
+                while self.call(entry, "warm", "/plain/x", "warm").await.status != 200 {
+                    tokio::time::sleep(Duration::from_millis(20)).await;
+                }
+            }
+        };
+        let serving = tokio::time::timeout(Duration::from_secs(30), serving).await;
+        serving.expect("a deployment that serves");
+        // The last of the backend servers may not be known to both entries yet.
+        tokio::time::sleep(Duration::from_millis(300)).await;
+    }
+
+    /// Sends a request to one of the two entries. A stream that ends early counts as status 502.
+    pub async fn call(&self, entry: usize, id: &str, path: &str, body: &str) -> Reply {
+        let reply = send(self.callers[entry], "POST", path, Some(id), body).await;
+        reply.unwrap_or(Reply { status: 502 })
+    }
+
+    /// How often backend servers began to run requests with this body.
+    pub fn runs_of(&self, body: &str) -> usize {
+        let bodies = self.bodies.lock().expect("a lock");
+        bodies.iter().filter(|ran| *ran == body).count()
+    }
+}
+
+/// Sends a request and reads the response; `None` if it ends early.
+async fn send(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    id: Option<&str>,
+    body: &str,
+) -> Option<Reply> {
+    let stream = TcpStream::connect(address).await.expect("a connection");
+    let (mut sender, connection) = handshake(TokioIo::new(stream)).await.expect("a handshake");
+    tokio::spawn(async move {
+        // The reader of the response sees how the connection ends.
+        let _ = connection.await;
+    });
+    let mut request = Request::builder().method(method).uri(path);
+    if let Some(id) = id {
+        request = request
+            .header("host", "test")
+            .header("id", id)
+            .header("key", "key-1");
+    }
+    let request = request
+        .body(Full::<Bytes>::from(body.to_owned()))
+        .expect("a request");
+    let response = sender.send_request(request).await.expect("an answer");
+    let status = response.status().as_u16();
+    response.into_body().collect().await.ok()?;
+    Some(Reply { status })
+}
+
+/// A backend server that certain requests crash.
+struct Server {
+    name: String,
+    address: SocketAddr,
+    control: SocketAddr,
+    bodies: Bodies,
+    born: AtomicU64,
+    crashed: Notify,
+}
+
+impl Server {
+    /// Serves until a request crashes it, and starts again after [`RESTART_DELAY`].
+    async fn run(self: Arc<Self>, mut listener: TcpListener) {
+        loop {
+            self.send_heartbeat().await;
+            let mut connections = JoinSet::new();
+            loop {
+                tokio::select! {
+                    accepted = listener.accept() => {
+                        let (stream, _) = accepted.expect("a connection");
+                        connections.spawn(self.clone().serve(stream));
+                    }
+                    () = self.crashed.notified() => break,
+                }
+            }
+            drop(listener);
+            connections.shutdown().await;
+            tokio::time::sleep(RESTART_DELAY).await;
+            self.born.fetch_add(1, SeqCst);
+            listener = TcpListener::bind(self.address).await.expect("its port");
+        }
+    }
+
+    async fn send_heartbeat(&self) {
+        let body = format!("{} ready 1 {}", self.address, self.born.load(SeqCst));
+        let path = format!("/beat/{}", self.name);
+        let reply = send(self.control, "PUT", &path, None, &body).await;
+        assert_eq!(reply.expect("an answer").status, 200);
+    }
+
+    async fn serve(self: Arc<Self>, mut stream: TcpStream) {
+        let mut bytes = Vec::new();
+        loop {
+            let Some((path, id, body)) = take_request(&mut bytes) else {
+                match stream.read_buf(&mut bytes).await {
+                    Ok(0) | Err(_) => return,
+                    Ok(_) => continue,
+                }
+            };
+            self.bodies.lock().expect("a lock").push(body.clone());
+            let head = format!("HTTP/1.1 200 OK\r\nid: {id}\r\n");
+            let answer = if path.starts_with("/resumable") {
+                let kind = "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n";
+                let event = "id: 1\ndata: one\n\n";
+                format!("{head}{kind}\r\n{:x}\r\n{event}\r\n", event.len())
+            } else {
+                format!("{head}content-length: 6\r\n\r\nans")
+            };
+            if stream.write_all(answer.as_bytes()).await.is_err() {
+                return;
+            }
+            match body.as_str() {
+                CRASH => {
+                    self.crashed.notify_one();
+                    return std::future::pending().await;
+                }
+                RESET => return,
+                _ => {}
+            }
+            let rest = if path.starts_with("/resumable") {
+                "0\r\n\r\n"
+            } else {
+                "wer"
+            };
+            if stream.write_all(rest.as_bytes()).await.is_err() {
+                return;
+            }
+        }
+    }
+}
+
+/// Removes a whole request from the front of the bytes, and returns its path, id and body.
+fn take_request(bytes: &mut Vec<u8>) -> Option<(String, String, String)> {
+    let end = bytes.windows(4).position(|window| window == b"\r\n\r\n")? + 4;
+    let head = String::from_utf8_lossy(&bytes[..end]).into_owned();
+    let field = |name: &str| {
+        let mut lines = head.lines().filter_map(|line| line.split_once(": "));
+        lines
+            .find(|(field, _)| field.eq_ignore_ascii_case(name))
+            .map(|(_, value)| value.to_owned())
+    };
+    let length = field("content-length").map_or(0, |length| length.parse().expect("a length"));
+    if bytes.len() < end + length {
+        return None;
+    }
+    let body = String::from_utf8_lossy(&bytes[end..end + length]).into_owned();
+    bytes.drain(..end + length);
+    let path = head.split(' ').nth(1)?.to_owned();
+    Some((path, field("id")?, body))
+}
