fix: hold back requests that crash backend servers

Cause: entry/exchange.rs knew what failed only inside one request.

Change: after a broken connection an entry probes the address once or twice. If the process is gone, the crash and the requests that it broke off are evidence, sent to the control leader and those of the data centre, and by these to all entries. A quarantined request is refused before a token is spent or a turn begun (503, Retry-After), and not sent on within an attempt that ran (502, or the stream ends as broken). New lines of target `quarantine`, three metrics, a new frame.

Ruled out: a digest of the whole request alone.

--- a/crates/celerycove-gateway/src/control.rs
+++ b/crates/celerycove-gateway/src/control.rs
@@ -5,6 +5,7 @@
 
 mod api;
 mod bootstrap;
+mod crashes;
 mod maintenance;
 
 pub(crate) use maintenance::member_candidates;
@@ -84,6 +85,8 @@
     changes_published: Notify,
     /// Changes that other control instances told, to be passed on with the next round.
     relayed_changes: Mutex<Vec<RelayedHeartbeat>>,
+    /// Crashes of backend servers, passed on between the entries.
+    crashes: Mutex<celerycove_quarantine::Table>,
     maintenance: Mutex<maintenance::State>,
     bootstrap: Mutex<bootstrap::Bootstrap>,
 }
@@ -130,6 +133,7 @@
         own_changes: Mutex::default(),
         changes_published: Notify::new(),
         relayed_changes: Mutex::default(),
+        crashes: Mutex::default(),
         maintenance: Mutex::default(),
         bootstrap: Mutex::new(bootstrap::Bootstrap::new(&setup)),
         setup,
@@ -509,6 +513,7 @@
         self.fleet_state.add_peer(hello);
         self.broadcaster.subscribe(hello, sender);
         self.broadcaster.send_update(sender, self.full_update());
+        self.send_known_crashes(hello, sender);
         if hello.role == Role::Control {
             self.connections.open(&hello.process);
         }
@@ -540,6 +545,7 @@
                 self.broadcaster.send_update(sender, update);
             }
             Frame::Evidence(reports) => self.forward_reports(peer, reports),
+            Frame::Crashes(evidence) => self.merge_crashes(peer, *evidence),
             Frame::InitialMembers(members) => self.bootstrap_log(&members),
             Frame::Demand(counts) => lock(&self.demand).record(clock::now(), peer, counts),
             Frame::Hello(_) | Frame::Ping | Frame::Reply(..) | Frame::TotalDemand(..) => {}
--- a/crates/celerycove-gateway/src/control/maintenance.rs
+++ b/crates/celerycove-gateway/src/control/maintenance.rs
@@ -63,6 +63,7 @@
             if now >= lock(&self.maintenance).last_digest_at + DIGEST_INTERVAL {
                 lock(&self.maintenance).last_digest_at = now;
                 self.publish_digest(now);
+                self.repeat_crashes(now);
             }
             self.advance_bootstrap();
             match self.leader_term() {
--- a/crates/celerycove-gateway/src/entry.rs
+++ b/crates/celerycove-gateway/src/entry.rs
@@ -1,6 +1,7 @@
 //! An entry instance: a proxy that forwards callers' requests to backend servers.
 
 mod chains;
+mod crashes;
 mod detour;
 mod events;
 mod exchange;
@@ -25,6 +26,7 @@
 
 use arc_swap::ArcSwapOption;
 use celerycove_fleet::{Fleet, Index, registry::Record};
+use celerycove_quarantine::table::Origin;
 use celerycove_route::direct::{Registration, Servers};
 use celerycove_types::{Timestamp, id};
 use hyper::{Request, Response, StatusCode, body::Incoming};
@@ -68,6 +70,7 @@
     pool: Arc<pool::Pool>,
     turns: Arc<turns::Client>,
     metrics: Arc<Metrics>,
+    crashes: crashes::Crashes,
     stopping: AtomicBool,
     /// Bytes that may be used to buffer responses.
     response_buffers: Arc<Semaphore>,
@@ -115,6 +118,7 @@
         turns: turns::Client::start(connections.clone(), metrics.clone()),
         connections: connections.clone(),
         metrics,
+        crashes: crashes::Crashes::default(),
         stopping: AtomicBool::new(false),
         response_buffers: Arc::new(Semaphore::new(exchange::MAX_TOTAL_BUFFERED_BYTES)),
         recent_programs: Mutex::default(),
@@ -142,6 +146,8 @@
     tokio::spawn(async move { reporting.send_reports().await });
     let counting = entry.clone();
     tokio::spawn(async move { counting.send_demand().await });
+    let crashes = entry.clone();
+    tokio::spawn(async move { crashes.maintain_crashes().await });
     Ok(Running {
         entry,
         stop,
@@ -367,7 +373,10 @@
 
 /// Handles messages from control instances.
 impl Handler for Entry {
-    fn opened(&self, _peer: &id::Process, _hello: Option<&Peer>, _sender: &Sender) {}
+    fn opened(&self, _peer: &id::Process, _hello: Option<&Peer>, sender: &Sender) {
+        // A control instance that was started again knows nothing; stores ignore it.
+        self.send_known_crashes(sender);
+    }
 
     fn receive(&self, _peer: &id::Process, frame: Frame, sender: &Sender) {
         match frame {
@@ -387,6 +396,7 @@
                     servers.merge_report(now, report);
                 }
             }
+            Frame::Crashes(evidence) => self.merge_crashes(*evidence, Origin::Told),
             Frame::TotalDemand(data_centre, total) => {
                 lock(&self.servers).merge_demand(clock::now(), data_centre, total);
             }
--- a/crates/celerycove-gateway/src/entry/exchange.rs
+++ b/crates/celerycove-gateway/src/entry/exchange.rs
@@ -7,17 +7,22 @@
     Index,
     config::{Route, ServiceName},
 };
+use celerycove_quarantine::digest::{Digests, Subject};
 use celerycove_route::direct::{Outcome, Request as RouteRequest, Selection};
 use celerycove_types::{Timestamp, id};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{
-    HeaderMap, Method, Request, StatusCode, Uri, body::Incoming, header, http::response::Parts,
+    HeaderMap, Method, Request, StatusCode, Uri,
+    body::Incoming,
+    header,
+    http::{response::Parts, uri::PathAndQuery},
 };
 
 use tokio::sync::Semaphore;
 
 use super::{
     Entry, Refusal,
+    crashes::Broken,
     pool::{PooledConnection, SendError},
 };
 use crate::{
@@ -73,6 +78,12 @@
     pub(super) sent: u32,
     /// All attempts, including those in which the request was not run.
     pub(super) tries: u32,
+    /// The body as the caller sent it.
+    pub(super) caller_body: Bytes,
+    /// The digests of the request, once they were needed.
+    pub(super) digests: Option<Digests>,
+    /// Whether a quarantined request is tried, on one backend server only.
+    pub(super) is_trial: bool,
 }
 
 /// A response whose head has arrived, with the connection that its body is read from.
@@ -83,6 +94,8 @@
     pub(super) metadata: ResponseMetadata,
     pub(super) body: Incoming,
     pub(super) connection: PooledConnection,
+    /// When the request was sent.
+    pub(super) sent_at: Timestamp,
 }
 
 /// A response that was read to its end.
@@ -116,6 +129,7 @@
             if self.deadline.saturating_sub(now) < MIN_TIME_LEFT {
                 return Err(self.timeout_refusal());
             }
+            self.check_quarantine()?;
             let Some(choice) = self.choose_backend(now) else {
                 return Err(self.no_backend_refusal());
             };
@@ -155,11 +169,63 @@
         }
     }
 
+    /// Returns the digests of the request.
+    fn digests(&mut self) -> Digests {
+        let subject = Subject {
+            organisation: self.organisation.as_deref(),
+            method: self.method.as_str(),
+            target: target(&self.uri),
+            previous_turn: self.call.previous_turn.as_deref(),
+            body: &self.caller_body,
+        };
+        *self.digests.get_or_insert_with(|| subject.digests())
+    }
+
+    /// Checks before each attempt but the first that the request has not been quarantined meanwhile.
+    fn check_quarantine(&mut self) -> Result<(), Refusal> {
+        if self.tries == 0 || self.is_trial || !self.entry.crashes.is_active() {
+            return Ok(());
+        }
+        let digests = self.digests();
+        match self.entry.check_quarantine(&self.request, &digests) {
+            Ok(is_trial) => {
+                self.is_trial = is_trial;
+                Ok(())
+            }
+            Err(_) if self.sent > 0 => Err(Refusal::Failed),
+            Err(refusal) => Err(refusal),
+        }
+    }
+
+    /// Records that the connection broke on which the request had been sent.
+    pub(super) fn record_break(&mut self, choice: &Selection, sent_at: Timestamp) {
+        let broken = Broken {
+            request: self.request.clone(),
+            digests: self.digests(),
+            organisation: self.organisation.clone().unwrap_or_else(|| "".into()),
+            started: sent_at,
+        };
+        self.entry.record_break(choice, broken);
+    }
+
+    /// Records that a backend server answered completely. An answer that ends with its connection
+    /// may have been cut short by a crash.
+    pub(super) fn record_whole_answer(&mut self, head: &Parts) {
+        let headers = &head.headers;
+        let is_delimited = headers.contains_key(header::CONTENT_LENGTH)
+            || headers.contains_key(header::TRANSFER_ENCODING);
+        if self.entry.crashes.is_active() && is_delimited {
+            let digests = self.digests();
+            self.entry.vindicate(&self.request, &digests);
+        }
+    }
+
     /// Returns whether the request may be sent to another backend server although one may have run
     /// it.
     pub(super) fn may_retry(&self) -> bool {
         let left = self.deadline.saturating_sub(clock::now());
         self.route.is_repeatable()
+            && !self.is_trial
             && self.sent < self.route.max_attempts.max(1)
             && left > MIN_TIME_LEFT
     }
@@ -209,10 +275,11 @@
             }
         };
         let guard = InFlightGuard::new(self, &choice);
+        let sent_at = clock::now();
         let response = tokio::time::timeout(self.head_timeout(), connection.send(request)).await;
         guard.disarm();
         match response {
-            Ok(Ok(response)) => self.classify(choice, response.into_parts(), connection),
+            Ok(Ok(response)) => self.classify(choice, response.into_parts(), connection, sent_at),
             Ok(Err(SendError::NotSent)) => {
                 // A pooled connection that was closed while idle is no sign of a failed backend
                 // server.
@@ -227,6 +294,7 @@
             }
             Ok(Err(SendError::Broken(error))) => {
                 self.record_attempt(&choice, Outcome::Failed, "broken", &error);
+                self.record_break(&choice, sent_at);
                 self.exclude_after_send(choice);
                 AttemptOutcome::MayHaveRun(Refusal::Failed)
             }
@@ -271,6 +339,7 @@
         choice: Selection,
         (head, body): (Parts, Incoming),
         connection: PooledConnection,
+        sent_at: Timestamp,
     ) -> AttemptOutcome {
         let metadata = self.entry.dialect.response_metadata(&head);
         let misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
@@ -308,6 +377,7 @@
             metadata,
             body,
             connection,
+            sent_at,
         }))
     }
 
@@ -341,6 +411,7 @@
             metadata,
             body,
             connection,
+            sent_at,
         } = exchange;
         let left = self.deadline.saturating_sub(clock::now());
         let guard = InFlightGuard::new(self, &choice);
@@ -349,6 +420,9 @@
         guard.disarm();
         let Ok(Some(collected)) = collected else {
             self.record_attempt(&choice, Outcome::Failed, "broken off", &head.status);
+            if collected.is_ok() {
+                self.record_break(&choice, sent_at);
+            }
             self.excluded.push(choice.backend);
             return None;
         };
@@ -364,6 +438,7 @@
             );
         } else {
             self.record_attempt(&choice, Outcome::Answered, "answered", &head.status);
+            self.record_whole_answer(&head);
         }
         Some(BufferedResponse {
             head,
@@ -409,6 +484,11 @@
     }
 }
 
+/// Returns the path and query of a request.
+pub(super) fn target(uri: &Uri) -> &str {
+    uri.path_and_query().map_or("", PathAndQuery::as_str)
+}
+
 /// Reads a body to its end. Returns `None` if it is interrupted, or if it exceeds the limit on one
 /// body or on all that are being read.
 async fn collect(body: Incoming, buffers: &Arc<Semaphore>) -> Option<Bytes> {
--- a/crates/celerycove-gateway/src/entry/refuse.rs
+++ b/crates/celerycove-gateway/src/entry/refuse.rs
@@ -38,6 +38,8 @@
     NoTurn,
     /// The stores are out of reach; they are expected back after the given time.
     NoStore(Duration),
+    /// The request has crashed the backend servers that ran it; it is held back for the given time.
+    Quarantined(Duration),
     /// No backend server can take the request now.
     NoServer,
     /// All backend servers that were tried declined the request or were out of reach.
@@ -71,9 +73,12 @@
             Self::OverRate(_) => StatusCode::TOO_MANY_REQUESTS,
             Self::Failed => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
-            Self::NotReady | Self::NoStore(_) | Self::NoServer | Self::Declined | Self::TooLate => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::NotReady
+            | Self::NoStore(_)
+            | Self::Quarantined(_)
+            | Self::NoServer
+            | Self::Declined
+            | Self::TooLate => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 
@@ -86,7 +91,9 @@
     /// Returns the delay after which the caller may retry, if a retry makes sense.
     fn retry_after(self) -> Option<Duration> {
         match self {
-            Self::OverRate(delay) | Self::NoStore(delay) => Some(delay.max(RETRY_AFTER_FULL)),
+            Self::OverRate(delay) | Self::NoStore(delay) | Self::Quarantined(delay) => {
+                Some(delay.max(RETRY_AFTER_FULL))
+            }
             Self::NotReady | Self::NoServer => Some(RETRY_AFTER_UNAVAILABLE),
             Self::Declined => Some(RETRY_AFTER_FULL),
             _ => None,
--- a/crates/celerycove-gateway/src/entry/relay.rs
+++ b/crates/celerycove-gateway/src/entry/relay.rs
@@ -29,6 +29,10 @@
 /// Gap between a stream's events after which it is resumed at another backend server, if it may be.
 const MAX_EVENT_GAP: Duration = Duration::from_millis(1_200);
 
+/// How a stream ends if its connection breaks: noticed as such, or by an event that is cut short.
+const CONNECTION_LOST: &str = "connection lost";
+const CUT_EVENT: &str = "stopped in an event";
+
 type Chunk = Result<Frame<Bytes>, BoxError>;
 
 /// Reservation of a turn's tokens in the stores. Dropping it settles the reservation, so that this
@@ -154,6 +158,7 @@
             metadata,
             mut body,
             connection,
+            sent_at,
         } = exchange;
         let guard = InFlightGuard::new(&self.dispatch, &choice);
         let mut splitter = Splitter::default();
@@ -170,8 +175,8 @@
             match frame {
                 Err(_) => {}
                 Ok(None) if splitter.is_empty() => break Stop::Whole,
-                Ok(None) => break Stop::Broken("stopped in an event"),
-                Ok(Some(Err(_))) => break Stop::Broken("connection lost"),
+                Ok(None) => break Stop::Broken(CUT_EVENT),
+                Ok(Some(Err(_))) => break Stop::Broken(CONNECTION_LOST),
                 Ok(Some(Ok(frame))) => {
                     let Some(data) = frame.data_ref() else {
                         continue;
@@ -205,6 +210,13 @@
         }
         self.dispatch
             .record_attempt(&choice, outcome, label, &self.event_count);
+        match stop {
+            Stop::Whole => self.dispatch.record_whole_answer(&head),
+            Stop::Broken(CONNECTION_LOST | CUT_EVENT) => {
+                self.dispatch.record_break(&choice, sent_at);
+            }
+            _ => {}
+        }
         stop
     }
 
--- a/crates/celerycove-gateway/src/entry/serve.rs
+++ b/crates/celerycove-gateway/src/entry/serve.rs
@@ -10,6 +10,7 @@
     Index,
     config::{Kind, Organisation, Route},
 };
+use celerycove_quarantine::digest::Subject;
 use celerycove_route::direct::affinity_hash;
 use celerycove_turn::{Begin, Outcome};
 use celerycove_types::{Timestamp, id};
@@ -23,7 +24,7 @@
 use super::{
     Entry, Refusal,
     chains::Chain,
-    exchange::Dispatch,
+    exchange::{Dispatch, target},
     hop::strip_hop_by_hop,
     rate_limit::Claim,
     relay::{Relay, ReservationGuard, RetainedTurn},
@@ -119,6 +120,20 @@
             BodyError::TooLong => Refusal::TooLong,
             BodyError::Incomplete => Refusal::BodyBroken,
         })?;
+        let digests = self.crashes.is_active().then(|| {
+            let subject = Subject {
+                organisation: admitted.organisation.as_deref(),
+                method: head.method.as_str(),
+                target: target(&head.uri),
+                previous_turn: call.previous_turn.as_deref(),
+                body: &body,
+            };
+            subject.digests()
+        });
+        let is_trial = match &digests {
+            Some(digests) => self.check_quarantine(&request, digests)?,
+            None => false,
+        };
         let claim = self.token_claim(&admitted, &call);
         if let Some(organisation) = &admitted.organisation {
             self.spend_token(organisation, claim, &request, &call)
@@ -126,7 +141,8 @@
         }
         let organisation = admitted.organisation.clone();
         let entry = self.clone();
-        let dispatch = self.new_dispatch(started, head, body, call, request, admitted)?;
+        let mut dispatch = self.new_dispatch(started, head, body, call, request, admitted)?;
+        (dispatch.digests, dispatch.is_trial) = (digests, is_trial);
         let result = if dispatch.route.kind == Kind::Streaming {
             forward_stream(dispatch).await
         } else {
@@ -241,6 +257,7 @@
             method: head.method,
             uri: head.uri,
             headers,
+            caller_body: body.clone(),
             body,
             started,
             deadline: started + timeout.min(route.timeout),
@@ -250,6 +267,8 @@
             excluded: Vec::new(),
             sent: 0,
             tries: 0,
+            digests: None,
+            is_trial: false,
         })
     }
 }
--- a/crates/celerycove-gateway/src/message.rs
+++ b/crates/celerycove-gateway/src/message.rs
@@ -51,6 +51,9 @@
     /// Counts of requests that backend servers answered and failed at an entry, for the other
     /// entries of its data centre.
     Evidence(Vec<Report>),
+    /// Crashes of backend servers and the requests that they broke off: from an entry to control
+    /// instances, and from these to each other and to all entries.
+    Crashes(Box<celerycove_quarantine::Evidence>),
     /// The requests that an entry has in flight, for the control instances of its data centre.
     Demand(Counts),
     /// The requests that all entries of a data centre have in flight, for all entries.
--- a/crates/celerycove-gateway/src/metrics.rs
+++ b/crates/celerycove-gateway/src/metrics.rs
@@ -34,6 +34,9 @@
     first_byte_seconds: Histogram<f64>,
     answer_seconds: Histogram<f64>,
     turn_state_seconds: Histogram<f64>,
+    backend_crashes: Counter<u64>,
+    quarantined_requests: Gauge<u64>,
+    quarantine_refusals: Counter<u64>,
     log_lines_dropped: Gauge<u64>,
     log_output: std::sync::OnceLock<Arc<celerycove_log::Counters>>,
 }
@@ -58,6 +61,9 @@
             first_byte_seconds: meter.f64_histogram("celerycove_first_byte_seconds").build(),
             answer_seconds: meter.f64_histogram("celerycove_answer_seconds").build(),
             turn_state_seconds: meter.f64_histogram("celerycove_turn_state_seconds").build(),
+            backend_crashes: meter.u64_counter("celerycove_backend_crashes").build(),
+            quarantined_requests: meter.u64_gauge("celerycove_quarantined_requests").build(),
+            quarantine_refusals: meter.u64_counter("celerycove_quarantine_refusals").build(),
             log_lines_dropped: meter.u64_gauge("celerycove_log_lines_dropped").build(),
             registry,
             _provider: provider,
@@ -97,6 +103,22 @@
             .record(elapsed.as_secs_f64(), &[KeyValue::new("step", step)]);
     }
 
+    /// Counts a crash of a backend server that this process confirmed.
+    pub fn record_crash(&self) {
+        self.backend_crashes.add(1, &[]);
+    }
+
+    /// Records how many requests are quarantined now.
+    pub fn record_quarantined(&self, count: usize) {
+        self.quarantined_requests
+            .record(u64::try_from(count).unwrap_or(u64::MAX), &[]);
+    }
+
+    /// Counts a request that was refused because it is quarantined.
+    pub fn record_quarantine_refusal(&self) {
+        self.quarantine_refusals.add(1, &[]);
+    }
+
     fn encode(&self) -> Result<Vec<u8>, Error> {
         if let Some(output) = self.log_output.get() {
             self.log_lines_dropped.record(output.counts().1, &[]);
--- a/crates/celerycove-gateway/src/store.rs
+++ b/crates/celerycove-gateway/src/store.rs
@@ -279,6 +279,7 @@
             | Frame::Acknowledge(_)
             | Frame::Hello(_)
             | Frame::Ping
+            | Frame::Crashes(_)
             | Frame::Reply(..) => {}
         }
     }
--- a/crates/celerycove-gateway/tests/crashes.rs
+++ b/crates/celerycove-gateway/tests/crashes.rs
@@ -50,6 +50,26 @@
     deployment::run(async |deployment| assert_held_back(deployment, "/resumable/x").await);
 }
 
+/// Guards against one that names something which crashes each backend server, in other words each
+/// time.
+#[test]
+fn requests_to_a_target_that_crashes_servers_are_held_back_whatever_their_body() {
+    deployment::run(async |deployment| {
+        for number in 0..REPEATS {
+            let (id, body) = (format!("crash-{number}"), format!("{CRASH} {number}"));
+            deployment
+                .call(number % 2, &id, "/plain/crashing", &body)
+                .await;
+            tokio::time::sleep(Duration::from_millis(60)).await;
+            let id = format!("ordinary-{number}");
+            let reply = deployment.call(number % 2, &id, "/plain/x", "ordinary");
+            assert_eq!(reply.await.status, 200);
+        }
+        let runs = deployment.runs_of(CRASH);
+        assert!((3..=MAX_RUNS).contains(&runs), "ran {runs} times");
+    });
+}
+
 /// Guards against taking lost answers and reset connections of servers that live for crashes.
 #[test]
 fn a_request_whose_connection_is_reset_by_servers_that_live_is_not_held_back() {
--- a/crates/celerycove-gateway/tests/crashes/deployment.rs
+++ b/crates/celerycove-gateway/tests/crashes/deployment.rs
@@ -29,7 +29,7 @@
 
 use crate::dialect::TestDialect;
 
-/// The body that ends each backend server which begins to run it.
+/// The start of a body that ends each backend server which begins to run it.
 pub const CRASH: &str = "crash";
 /// The body whose connection is closed by each backend server, which lives on.
 pub const RESET: &str = "reset";
@@ -194,10 +194,10 @@
         reply.unwrap_or(Reply { status: 502 })
     }
 
-    /// How often backend servers began to run requests with this body.
+    /// How often backend servers began to run requests whose body begins so.
     pub fn runs_of(&self, body: &str) -> usize {
         let bodies = self.bodies.lock().expect("a lock");
-        bodies.iter().filter(|ran| *ran == body).count()
+        bodies.iter().filter(|ran| ran.starts_with(body)).count()
     }
 }
 
@@ -293,7 +293,7 @@
                 return;
             }
             match body.as_str() {
-                CRASH => {
+                body if body.starts_with(CRASH) => {
                     self.crashed.notify_one();
                     return std::future::pending().await;
                 }
