--- a/crates/celerycove-gateway/tests/crashes.rs
+++ b/crates/celerycove-gateway/tests/crashes.rs
@@ -48,6 +48,24 @@
     deployment::run(async |deployment| assert_held_back(deployment, "/plain/x").await);
 }
 
+/// Guards against an entry that has just started, or was cut off, and knows nothing of the crashes.
+#[test]
+fn an_entry_that_starts_later_holds_the_request_back_at_once() {
+    deployment::run(async |deployment| {
+        for number in 0..4 {
+            let id = format!("crash-{number}");
+            deployment.call(number % 2, &id, "/plain/x", CRASH).await;
+            tokio::time::sleep(Duration::from_millis(60)).await;
+        }
+        let runs = deployment.runs_of(CRASH);
+        let _entry = deployment.start_late_entry().await;
+        let reply = deployment.call(2, "late", "/plain/x", CRASH).await;
+        assert_eq!((reply.status, deployment.runs_of(CRASH)), (503, runs));
+        let ordinary = deployment.call(2, "ordinary", "/plain/x", "ordinary").await;
+        assert_eq!(ordinary.status, 200);
+    });
+}
+
 /// Guards against one that crashes them in the middle of a stream, which is resumed elsewhere.
 #[test]
 fn a_stream_that_crashes_servers_is_held_back_at_all_entries() {
--- a/crates/celerycove-gateway/tests/crashes/deployment.rs
+++ b/crates/celerycove-gateway/tests/crashes/deployment.rs
@@ -1,4 +1,4 @@
-//! A control instance, two entries and backend servers that end and start again, all run as tasks of
+//! A control instance, two entries or three, and backend servers that end and start again, all run as tasks of
 //! the test process.
 
 use std::{
@@ -90,65 +90,72 @@
 }
 
 pub struct Deployment {
-    callers: [SocketAddr; 2],
+    first_port: u16,
     control_address: SocketAddr,
     bodies: Bodies,
     _stop: watch::Sender<bool>,
     _entries: Vec<entry::Running>,
 }
 
+/// The addresses that an instance listens on.
+fn address(first_port: u16, host: u8, offset: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, host], first_port + offset))
+}
+
+fn setup(first_port: u16, role: Role, host: u8, data_dir: Option<PathBuf>) -> Setup {
+    Setup {
+        role,
+        instance: format!("{}-{host}", role.name()).into(),
+        data_centre: "a".into(),
+        data_centres: vec!["a".into()],
+        ip: address(first_port, host, 0).ip(),
+        internal_port: first_port,
+        listen: ListenAddresses {
+            callers: Some(address(first_port, host, 3)),
+            ready: Some(address(first_port, host, 4)),
+            control: Some(address(first_port, host, 5)),
+            metrics: None,
+            internal: None,
+        },
+        seeds: vec![address(first_port, 1, 5)],
+        bootstrap: true,
+        data_dir,
+        tolerated_failures: 1,
+        bounds: TimeLimits {
+            grace_period: Duration::from_secs(8),
+            replacement: Duration::from_secs(4),
+        },
+    }
+}
+
+async fn start_entry(first_port: u16, host: u8) -> entry::Running {
+    let metrics = Metrics::new().expect("metrics");
+    let setup = setup(first_port, Role::Entry, host, None);
+    let running = entry::start(setup, Arc::new(TestDialect), metrics).await;
+    running.expect("an entry")
+}
+
 /// The bodies of the requests that ran, in order.
 type Bodies = Arc<Mutex<Vec<String>>>;
 
 impl Deployment {
     async fn start(first_port: u16, folder: PathBuf) -> Self {
-        let address =
-            |host: u8, offset: u16| SocketAddr::from(([127, 0, 0, host], first_port + offset));
-        let setup = |role: Role, host: u8, data: Option<PathBuf>| Setup {
-            role,
-            instance: format!("{}-{host}", role.name()).into(),
-            data_centre: "a".into(),
-            data_centres: vec!["a".into()],
-            ip: address(host, 0).ip(),
-            internal_port: first_port,
-            listen: ListenAddresses {
-                callers: Some(address(host, 3)),
-                ready: Some(address(host, 4)),
-                control: Some(address(host, 5)),
-                metrics: None,
-                internal: None,
-            },
-            seeds: vec![address(1, 5)],
-            bootstrap: true,
-            data_dir: data,
-            tolerated_failures: 1,
-            bounds: TimeLimits {
-                grace_period: Duration::from_secs(8),
-                replacement: Duration::from_secs(4),
-            },
-        };
         std::fs::create_dir_all(&folder).expect("a folder");
         let (stop, stopped) = watch::channel(false);
         control::start(
-            setup(Role::Control, 1, Some(folder)),
+            setup(first_port, Role::Control, 1, Some(folder)),
             Arc::new(TestDialect),
             stopped,
         )
         .await
         .expect("a control instance");
-        let mut entries = Vec::new();
-        for host in [1, 2] {
-            let metrics = Metrics::new().expect("metrics");
-            let running = entry::start(
-                setup(Role::Entry, host, None),
-                Arc::new(TestDialect),
-                metrics,
-            );
-            entries.push(running.await.expect("an entry"));
-        }
+        let entries = vec![
+            start_entry(first_port, 1).await,
+            start_entry(first_port, 2).await,
+        ];
         let deployment = Self {
-            callers: [address(1, 3), address(2, 3)],
-            control_address: address(1, 5),
+            first_port,
+            control_address: address(first_port, 1, 5),
             bodies: Bodies::default(),
             _stop: stop,
             _entries: entries,
@@ -189,9 +196,34 @@
         tokio::time::sleep(Duration::from_millis(300)).await;
     }
 
-    /// Sends a request to one of the two entries. A stream that ends early counts as status 502.
+    /// Starts a third entry, and waits until it has a configuration.
+    pub async fn start_late_entry(&self) -> entry::Running {
+        let running = start_entry(self.first_port, 3).await;
+        let ready = async {
+            let address = address(self.first_port, 3, 4);
+            while send(address, "GET", "/", None, "")
+                .await
+                .is_none_or(|reply| reply.status != 200)
+            {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        };
+        let ready = tokio::time::timeout(Duration::from_secs(10), ready).await;
+        ready.expect("an entry that is ready");
+        running
+    }
+
+    /// Sends a request to one of the entries. A stream that ends early counts as status 502.
     pub async fn call(&self, entry: usize, id: &str, path: &str, body: &str) -> Reply {
-        let reply = send(self.callers[entry], "POST", path, Some(id), body).await;
+        let host = u8::try_from(entry).expect("a small number") + 1;
+        let reply = send(
+            address(self.first_port, host, 3),
+            "POST",
+            path,
+            Some(id),
+            body,
+        )
+        .await;
         reply.unwrap_or(Reply {
             status: 502,
             retry_after: None,
