--- a/crates/celerycove-gateway/src/control.rs
+++ b/crates/celerycove-gateway/src/control.rs
@@ -6,6 +6,7 @@
 mod admission;
 mod api;
 mod bootstrap;
+mod crashes;
 mod maintenance;
 
 pub(crate) use maintenance::member_candidates;
@@ -90,6 +91,8 @@
     changes_published: Notify,
     /// Changes that other control instances told, to be passed on with the next round.
     relayed_changes: Mutex<Vec<RelayedHeartbeat>>,
+    /// Crashes of backend servers, passed on between the entries.
+    crashes: Mutex<celerycove_quarantine::Table>,
     maintenance: Mutex<maintenance::State>,
     bootstrap: Mutex<bootstrap::Bootstrap>,
     /// Limits the lines about requests without room for their bodies.
@@ -139,6 +142,7 @@
         own_changes: Mutex::default(),
         changes_published: Notify::new(),
         relayed_changes: Mutex::default(),
+        crashes: Mutex::default(),
         maintenance: Mutex::default(),
         bootstrap: Mutex::new(bootstrap::Bootstrap::new(&setup)),
         no_room_lines: Mutex::new(Limit::new(NO_ROOM_LINES)),
@@ -519,6 +523,7 @@
         self.fleet_state.add_peer(hello);
         self.broadcaster.subscribe(hello, sender);
         self.broadcaster.send_update(sender, self.full_update());
+        self.send_known_crashes(hello, sender);
         if hello.role == Role::Control {
             self.connections.open(&hello.process);
         }
@@ -554,6 +559,7 @@
                 }
             }
             Frame::Evidence(reports) => self.forward_reports(peer, reports),
+            Frame::Crashes(evidence) => self.merge_crashes(peer, *evidence),
             Frame::InitialMembers(members) => self.bootstrap_log(&members),
             Frame::Demand(counts) => lock(&self.demand).record(clock::now(), peer, counts),
             Frame::Hello(_) | Frame::Ping | Frame::Reply(..) | Frame::TotalDemand(..) => {}
