--- a/crates/celerycove-gateway/src/entry/refuse.rs
+++ b/crates/celerycove-gateway/src/entry/refuse.rs
@@ -40,6 +40,8 @@
     NoTurn,
     /// The stores are out of reach; they are expected back after the given time.
     NoStore(Duration),
+    /// The request has crashed the backend servers that ran it; it is held back for the given time.
+    Quarantined(Duration),
     /// No backend server can take the request now.
     NoServer,
     /// All backend servers that were tried declined the request or were out of reach.
@@ -76,6 +78,7 @@
             Self::NotReady
             | Self::NoMemory
             | Self::NoStore(_)
+            | Self::Quarantined(_)
             | Self::NoServer
             | Self::Declined
             | Self::TooLate => StatusCode::SERVICE_UNAVAILABLE,
@@ -91,7 +94,9 @@
     /// Returns the delay after which the caller may retry, if a retry makes sense.
     fn retry_after(self) -> Option<Duration> {
         match self {
-            Self::OverRate(delay) | Self::NoStore(delay) => Some(delay.max(RETRY_AFTER_FULL)),
+            Self::OverRate(delay) | Self::NoStore(delay) | Self::Quarantined(delay) => {
+                Some(delay.max(RETRY_AFTER_FULL))
+            }
             Self::NotReady | Self::NoServer => Some(RETRY_AFTER_UNAVAILABLE),
             Self::NoMemory | Self::Declined => Some(RETRY_AFTER_FULL),
             _ => None,
--- a/crates/celerycove-gateway/src/entry/serve.rs
+++ b/crates/celerycove-gateway/src/entry/serve.rs
@@ -11,6 +11,7 @@
     config::{Kind, Organisation, Route},
 };
 use celerycove_log::limit;
+use celerycove_quarantine::digest::Subject;
 use celerycove_route::direct::affinity_hash;
 use celerycove_turn::{Begin, Outcome};
 use celerycove_types::{Timestamp, id};
@@ -24,7 +25,7 @@
 use super::{
     Entry, Refusal,
     chains::Chain,
-    exchange::Dispatch,
+    exchange::{Dispatch, target},
     hop::strip_hop_by_hop,
     rate_limit::Claim,
     relay::{Relay, ReservationGuard, RetainedTurn},
@@ -122,6 +123,20 @@
             BodyError::Incomplete => Refusal::BodyBroken,
             BodyError::NoRoom => self.refuse_for_memory(Part::CallerBodies),
         })?;
+        let digests = self.crashes.is_active().then(|| {
+            let subject = Subject {
+                organisation: admitted.organisation.as_deref(),
+                method: head.method.as_str(),
+                target: target(&head.uri),
+                previous_turn: call.previous_turn.as_deref(),
+                body: &body.0,
+            };
+            subject.digests()
+        });
+        let is_trial = match &digests {
+            Some(digests) => self.check_quarantine(&request, digests)?,
+            None => false,
+        };
         let claim = self.token_claim(&admitted, &call);
         if let Some(organisation) = &admitted.organisation {
             self.spend_token(organisation, claim, &request, &call)
@@ -129,7 +144,8 @@
         }
         let organisation = admitted.organisation.clone();
         let entry = self.clone();
-        let dispatch = self.new_dispatch(started, head, body, call, request, admitted)?;
+        let mut dispatch = self.new_dispatch(started, head, body, call, request, admitted)?;
+        (dispatch.digests, dispatch.is_trial) = (digests, is_trial);
         let result = if dispatch.route.kind == Kind::Streaming {
             forward_stream(dispatch).await
         } else {
@@ -259,6 +275,7 @@
             method: head.method,
             uri: head.uri,
             headers,
+            caller_body: body.clone(),
             body,
             body_room,
             started,
@@ -269,6 +286,8 @@
             excluded: Vec::new(),
             sent: 0,
             tries: 0,
+            digests: None,
+            is_trial: false,
         })
     }
 }
--- a/crates/celerycove-gateway/src/store.rs
+++ b/crates/celerycove-gateway/src/store.rs
@@ -281,6 +281,7 @@
             | Frame::Acknowledge(_)
             | Frame::Hello(_)
             | Frame::Ping
+            | Frame::Crashes(_)
             | Frame::Reply(..) => {}
         }
     }
