--- a/crates/celerycove-gateway/src/link/queue.rs
+++ b/crates/celerycove-gateway/src/link/queue.rs
@@ -61,9 +61,10 @@
 /// What happens when a frame finds no room in the queue.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Overflow {
-    /// The frame is dropped. On connections that this process opens, all frames are repeated by
-    /// their senders (messages of the replicated log, reports, requests for the state) or fail with
-    /// [`NoReply`](super::NoReply) (requests); an acknowledgement is waited for briefly only.
+    /// The frame is dropped. On connections that this process opens, messages of the replicated log
+    /// and requests for the state are repeated, and requests fail with [`NoReply`](super::NoReply).
+    /// Reports and acknowledgements are lost: other entries see failures themselves, later, and
+    /// acknowledgements are waited for briefly only.
     Drop,
     /// The connection is closed. On connections that peers open, they are sent updates. Those of the
     /// state would be repaired when a later one names a newer index, but not a notice that a backend
