fix(log): count what entries take in memory, not only their text

Its encoded form, which the log counts, has the text and the routes once more; in memory each text of a route is an allocation of its own. The largest log is now two thirds of its part of the budget, and the gauge counts one and a half times the encoded size.

--- a/crates/celerycove-control/src/log.rs
+++ b/crates/celerycove-control/src/log.rs
@@ -51,8 +51,7 @@
 }
 
 impl Entry {
-    /// The size of the entry on the disk in bytes, without the record's header. Its size in memory is
-    /// about the same: most of both is text.
+    /// The size of the entry on the disk in bytes, without the record's header.
     #[must_use]
     pub fn encoded_bytes(&self) -> u64 {
         let mut counter = ByteCounter::default();
--- a/crates/celerycove-control/src/node.rs
+++ b/crates/celerycove-control/src/node.rs
@@ -31,7 +31,7 @@
     pub election_timeout: Duration,
     /// The number of applied entries after which a snapshot replaces them.
     pub snapshot_interval: Index,
-    /// The most bytes of entries that the log holds, in memory and on the disk.
+    /// The most bytes of encoded entries that the log holds, in memory and on the disk.
     pub max_log_bytes: u64,
 }
 
--- a/crates/celerycove-gateway/src/replica.rs
+++ b/crates/celerycove-gateway/src/replica.rs
@@ -43,6 +43,10 @@
 /// to half.
 const LARGE_LOG_BYTES: u64 = 2 << 20;
 
+/// How much an entry takes in memory, in percent of its encoded size: each text of a configuration's
+/// routes is an allocation of its own.
+const MEMORY_PERCENT: u64 = 150;
+
 /// Returns the timing of a log. An election takes one to two election timeouts, so a lost leader is
 /// replaced within a third of the time in which acknowledgements are due. A snapshot replaces
 /// `snapshot_interval` entries, or fewer if they take up too much memory.
@@ -121,7 +125,7 @@
     ) -> Result<Arc<Self>, Error> {
         let account = connections.account().clone();
         let options = Options {
-            max_log_bytes: account.limit(Part::Log) as u64,
+            max_log_bytes: account.limit(Part::Log) as u64 * 100 / MEMORY_PERCENT,
             ..options
         };
         let seed = rand::random();
