--- a/crates/celerycove-control/src/log.rs
+++ b/crates/celerycove-control/src/log.rs
@@ -54,14 +54,26 @@
     /// The size of the entry on the disk in bytes, without the record's header.
     #[must_use]
     pub fn encoded_bytes(&self) -> u64 {
-        let mut counter = ByteCounter::default();
-        // Writing to a counter can't fail; an entry that can't be encoded halts the instance when it
-        // is appended to the storage.
-        let _ = rmp_serde::encode::write_named(&mut counter, self);
-        counter.0
+        encoded_bytes(self)
     }
 }
 
+impl Command {
+    /// The size of the encoded command in bytes.
+    #[must_use]
+    pub fn encoded_bytes(&self) -> u64 {
+        encoded_bytes(self)
+    }
+}
+
+fn encoded_bytes(value: &impl Serialize) -> u64 {
+    let mut counter = ByteCounter::default();
+    // Writing to a counter can't fail; an entry that can't be encoded halts the instance when it is
+    // appended to the storage.
+    let _ = rmp_serde::encode::write_named(&mut counter, value);
+    counter.0
+}
+
 /// Counts the bytes written to it.
 #[derive(Debug, Default)]
 struct ByteCounter(u64);
--- a/crates/celerycove-control/src/replicate.rs
+++ b/crates/celerycove-control/src/replicate.rs
@@ -3,9 +3,9 @@
 use celerycove_types::{Timestamp, id};
 
 use crate::{
-    log::{Command, Entry, Index, Members, Term},
+    log::{Command, Entry, Index, Log, Members, Term},
     message::{Body, Round},
-    node::{Action, Answer, Proposed},
+    node::{Action, Answer, Options, Proposed},
     raft::{Progress, Raft},
     storage::{Ballot, Snapshot},
 };
@@ -51,14 +51,14 @@
 
     /// Appends the proposed commands and replicates them, refusing invalid changes of the members.
     ///
-    /// Refuses all of them while the entries that are not committed take up a quarter of the largest
-    /// log, so that a leader without a majority keeps no more than that.
+    /// Refuses commands, except changes of the members, while the entries that are not committed take
+    /// up a quarter of the largest log, so that a leader without a majority keeps no more than that.
     pub(crate) fn propose(&mut self, proposed: Vec<Proposed>) {
         let mut commands = Vec::new();
-        let uncommitted = self.log.bytes_in(self.commit_index, self.log.last_index());
-        let is_full = uncommitted >= self.options.max_log_bytes / 4;
+        let mut uncommitted = self.log.bytes_in(self.commit_index, self.log.last_index());
         for Proposed { token, command } in proposed {
-            if is_full {
+            let is_change_of_members = matches!(command, Command::Members(_));
+            if !is_change_of_members && uncommitted >= self.options.max_log_bytes / 4 {
                 let answer = Answer::Refused("too many entries are not committed yet");
                 self.actions.push(Action::Answer { token, answer });
                 continue;
@@ -74,6 +74,7 @@
             }
             let index = self.log.last_index() + 1 + commands.len() as Index;
             self.pending_proposals.insert(index, token);
+            uncommitted += command.encoded_bytes();
             commands.push(command);
         }
         self.append_commands(commands);
@@ -168,6 +169,12 @@
     /// Sends a follower the next entries, a snapshot chunk, or a heartbeat while a probe is
     /// unanswered.
     fn replicate_to(&mut self, peer: &id::Process) {
+        self.send_next(peer, false);
+    }
+
+    /// Sends like [`replicate_to`](Self::replicate_to); entries that begin a probe are sent however many
+    /// are not acknowledged.
+    fn send_next(&mut self, peer: &id::Process, begins_probe: bool) {
         let Some(progress) = self.progress.get_mut(peer) else {
             return;
         };
@@ -183,9 +190,8 @@
         }
         let is_probing = progress.probe_sent_at.is_some();
         let previous = progress.next_index - 1;
-        let unacknowledged = self.log.bytes_in(progress.match_index, previous);
         let is_window_full =
-            unacknowledged >= self.options.max_log_bytes / UNACKNOWLEDGED_DIVISOR && !is_probing;
+            !is_probing && !begins_probe && is_window_full(&self.log, progress, &self.options);
         let body = match self.log.term_at(previous) {
             Some(previous_term) => {
                 let limit = if awaits_probe_reply || is_window_full {
@@ -285,7 +291,10 @@
                 return;
             }
         }
-        let has_more = progress.next_index < log_end;
+        // An answered probe or heartbeat makes way for entries, unless others are on their way still.
+        let has_more = progress.next_index < log_end
+            && progress.probe_sent_at.is_none()
+            && !is_window_full(&self.log, progress, &self.options);
         self.release_outgoing_snapshot();
         self.update_confirmed_round();
         self.advance_commit_index();
@@ -301,7 +310,7 @@
         };
         progress.probe_sent_at = None;
         let probe_index = progress.next_index;
-        self.replicate_to(peer);
+        self.send_next(peer, true);
         if let Some(progress) = self.progress.get_mut(peer) {
             progress.next_index = probe_index;
             progress.begin_probe(self.now, self.round);
@@ -470,3 +479,9 @@
         self.now.checked_sub(confirmed_at)
     }
 }
+
+/// Whether a follower is sent no further entries until it has acknowledged some.
+fn is_window_full(log: &Log, progress: &Progress, options: &Options) -> bool {
+    let unacknowledged = log.bytes_in(progress.match_index, progress.next_index - 1);
+    unacknowledged >= options.max_log_bytes / UNACKNOWLEDGED_DIVISOR
+}
--- a/crates/celerycove-control/src/transfer.rs
+++ b/crates/celerycove-control/src/transfer.rs
@@ -60,7 +60,7 @@
 
     fn read_chunk(&mut self, peer: &id::Process) -> Result<Option<Body>, Error> {
         self.ensure_outgoing_snapshot()?;
-        let (round, confirmed) = (self.round, self.confirmed_round);
+        let round = self.round;
         let (Some(outgoing), Some(progress)) =
             (&mut self.outgoing_snapshot, self.progress.get_mut(peer))
         else {
@@ -80,7 +80,8 @@
             offset: position.offset,
             part: outgoing.snapshot.read(position.offset, CHUNK_BYTES)?,
             round,
-            confirmed,
+            // Receivers of an earlier version would take their vote for the snapshot alone.
+            confirmed: 0,
         }))
     }
 
--- a/crates/celerycove-control/tests/size.rs
+++ b/crates/celerycove-control/tests/size.rs
@@ -339,3 +339,36 @@
     cluster.configure(51..=60);
     assert!((0..3).all(|index| cluster.version(index) == 60));
 }
+
+/// Guards against a bound that is checked only once for commands that are proposed together.
+#[test]
+fn commands_proposed_together_stay_within_the_bound_of_the_log() {
+    let mut cluster = Cluster::new();
+    let leader = cluster.leader();
+    let proposed = (1..=100).map(|version| Proposed {
+        token: version,
+        command: Command::Fleet(config(version)),
+    });
+    cluster.step(leader, Event::Propose(proposed.collect()));
+    let is_refused = |answer: &&Answer| matches!(answer, Answer::Refused(_));
+    assert!(cluster.answers.iter().any(|answer| is_refused(&answer)));
+    assert!(
+        cluster.largest_log <= MAX_LOG_BYTES,
+        "{} bytes in memory",
+        cluster.largest_log
+    );
+}
+
+/// Guards against a follower on a slow link that never catches up while entries are committed: the log is
+/// compacted beyond the snapshot that it is being sent, so that the transfer starts anew.
+#[test]
+fn a_follower_on_a_slow_link_catches_up_while_large_entries_are_committed() {
+    let mut cluster = Cluster::new();
+    let follower = (cluster.leader() + 1) % 3;
+    cluster.cut_off = vec![follower];
+    cluster.configure(1..=60);
+    cluster.cut_off.clear();
+    cluster.slow = Some(follower);
+    cluster.configure(61..=560);
+    assert!(cluster.version(follower) > 60);
+}
