--- a/crates/celerycove-gateway/src/control.rs
+++ b/crates/celerycove-gateway/src/control.rs
@@ -3,8 +3,10 @@
 //! Instances with a disk can be members of the control log. Those without one only pass on
 //! heartbeats and updates, and send commands to the leader, which commits them.
 
+mod admission;
 mod api;
 mod bootstrap;
+mod crashes;
 mod maintenance;
 
 pub(crate) use maintenance::member_candidates;
@@ -20,6 +22,7 @@
 use celerycove_disk::Store;
 use celerycove_fleet::{Change, Command, Config, Fleet, registry::Stage};
 use celerycove_limit::{Lease, Ownership, Request as LeaseRequest, fallback::reduced_entitlement};
+use celerycove_log::limit::Limit;
 use celerycove_route::direct::{Report, demand::Collector};
 use celerycove_types::{Set, Timestamp, id};
 use tokio::sync::{Notify, watch};
@@ -30,7 +33,8 @@
     clock,
     entry::rate_limit,
     http,
-    link::{self, Connections, Handler, Sender, lock},
+    link::{self, Connections, Encoded, Handler, Sender, lock},
+    memory::Account,
     message::{
         Frame, Peer, RelayedHeartbeat, Reply, RpcRequest, SequenceNumber, UNNUMBERED, Update, View,
         ViewUpdate,
@@ -57,9 +61,9 @@
 const LEASING_TIMEOUT: Duration = Duration::from_millis(300);
 /// Entries of the control log between snapshots.
 const SNAPSHOT_AFTER_ENTRIES: u64 = 1_024;
-/// The most bytes of entries that the control log holds: a tenth of the memory of the smallest
-/// instance, and an eighth of its disk.
-const MAX_LOG_BYTES: u64 = 8 << 20;
+
+/// Lines a second about requests without room for their bodies.
+const NO_ROOM_LINES: u32 = 1;
 
 /// A control process.
 pub struct Control {
@@ -87,8 +91,12 @@
     changes_published: Notify,
     /// Changes that other control instances told, to be passed on with the next round.
     relayed_changes: Mutex<Vec<RelayedHeartbeat>>,
+    /// Crashes of backend servers, passed on between the entries.
+    crashes: Mutex<celerycove_quarantine::Table>,
     maintenance: Mutex<maintenance::State>,
     bootstrap: Mutex<bootstrap::Bootstrap>,
+    /// Limits the lines about requests without room for their bodies.
+    no_room_lines: Mutex<Limit>,
 }
 
 /// Starts a control instance and returns the task that serves operators and backend servers. It ends
@@ -101,6 +109,7 @@
 pub async fn start(
     setup: Setup,
     dialect: Arc<dyn Dialect>,
+    account: Arc<Account>,
     stop: watch::Receiver<bool>,
 ) -> Result<tokio::task::JoinHandle<()>, Error> {
     let address = setup
@@ -116,7 +125,7 @@
         has_disk: setup.data_dir.is_some(),
         may_bootstrap: setup.may_bootstrap_log(),
     };
-    let connections = Connections::new(local_peer.clone());
+    let connections = Connections::new(local_peer.clone(), account.clone());
     let may_bootstrap = local_peer.may_bootstrap;
     let control = Arc::new_cyclic(|weak_self| Control {
         weak_self: weak_self.clone(),
@@ -133,8 +142,10 @@
         own_changes: Mutex::default(),
         changes_published: Notify::new(),
         relayed_changes: Mutex::default(),
+        crashes: Mutex::default(),
         maintenance: Mutex::default(),
         bootstrap: Mutex::new(bootstrap::Bootstrap::new(&setup)),
+        no_room_lines: Mutex::new(Limit::new(NO_ROOM_LINES)),
         setup,
     });
     connections.set_handler(control.clone());
@@ -142,7 +153,7 @@
         control.open_log(None)?;
     }
     let internal = control.setup.internal_address()?;
-    link::listen(internal, control.clone()).await?;
+    link::listen(internal, control.clone(), account).await?;
     control.connect(&control.setup.seed_processes());
     let listener = http::bind(address)?;
     let server = tokio::spawn(http::serve(listener, control.clone(), stop));
@@ -170,7 +181,7 @@
             initial_members.filter(|members| members.contains(&me)),
             storage,
             self.connections.clone(),
-            options(SNAPSHOT_AFTER_ENTRIES, MAX_LOG_BYTES),
+            options(SNAPSHOT_AFTER_ENTRIES),
             Box::new(move |state, index| control.apply(state, index)),
         )?;
         // Set only once: at the start, or later when the initial members are known.
@@ -512,6 +523,7 @@
         self.fleet_state.add_peer(hello);
         self.broadcaster.subscribe(hello, sender);
         self.broadcaster.send_update(sender, self.full_update());
+        self.send_known_crashes(hello, sender);
         if hello.role == Role::Control {
             self.connections.open(&hello.process);
         }
@@ -540,13 +552,14 @@
             Frame::RequestView => {
                 let mut update = self.empty_update();
                 update.view = self.view().map(ViewUpdate::Whole);
-                if let Some(encoded) = link::encode(&Frame::Update(Box::new(update))) {
-                    log::info!(target: "spread", peer:% = peer, bytes = encoded.len();
+                if let Some(encoded) = Encoded::new(&Frame::Update(Box::new(update))) {
+                    log::info!(target: "spread", peer:% = peer, bytes = encoded.length();
                         "sending the whole state");
-                    sender.send_encoded(encoded);
+                    sender.send_encoded(&encoded);
                 }
             }
             Frame::Evidence(reports) => self.forward_reports(peer, reports),
+            Frame::Crashes(evidence) => self.merge_crashes(peer, *evidence),
             Frame::InitialMembers(members) => self.bootstrap_log(&members),
             Frame::Demand(counts) => lock(&self.demand).record(clock::now(), peer, counts),
             Frame::Hello(_) | Frame::Ping | Frame::Reply(..) | Frame::TotalDemand(..) => {}
--- a/crates/celerycove-gateway/src/entry.rs
+++ b/crates/celerycove-gateway/src/entry.rs
@@ -1,11 +1,13 @@
 //! An entry instance: a proxy that forwards callers' requests to backend servers.
 
 mod chains;
+mod crashes;
 mod detour;
 mod events;
 mod exchange;
 mod hop;
 mod outage;
+mod outbox;
 mod pool;
 pub(crate) mod rate_limit;
 mod recent;
@@ -25,10 +27,12 @@
 
 use arc_swap::ArcSwapOption;
 use celerycove_fleet::{Fleet, Index, registry::Record};
+use celerycove_log::limit::Limit;
+use celerycove_quarantine::table::Origin;
 use celerycove_route::direct::{Registration, Servers};
 use celerycove_types::{Timestamp, id};
 use hyper::{Request, Response, StatusCode, body::Incoming};
-use tokio::sync::{Semaphore, watch};
+use tokio::sync::watch;
 
 use crate::{
     Dialect, Error, Setup,
@@ -36,6 +40,7 @@
     clock,
     http::{self, Body},
     link::{self, Connections, Handler, Sender, lock},
+    memory::Account,
     message::{Frame, Peer, RelayedHeartbeat, UNNUMBERED, Update},
     metrics::Metrics,
     setup::Role,
@@ -54,6 +59,9 @@
 /// Part of the grace period that is kept free for the exit of the process.
 const EXIT_MARGIN: Duration = Duration::from_millis(700);
 
+/// Lines a second about parts of the memory without room.
+const NO_ROOM_LINES: u32 = 1;
+
 /// State of an entry instance.
 pub struct Entry {
     setup: Setup,
@@ -68,11 +76,12 @@
     pool: Arc<pool::Pool>,
     turns: Arc<turns::Client>,
     metrics: Arc<Metrics>,
+    crashes: crashes::Crashes,
     stopping: AtomicBool,
-    /// Bytes that may be used to buffer responses.
-    response_buffers: Arc<Semaphore>,
     /// Programs of which this entry has admitted a request recently.
     recent_programs: Mutex<recent::Programs>,
+    /// Limits the lines about parts of the memory without room.
+    no_room_lines: Mutex<Limit>,
 }
 
 /// A running entry.
@@ -91,20 +100,22 @@
     setup: Setup,
     dialect: Arc<dyn Dialect>,
     metrics: Arc<Metrics>,
+    account: Arc<Account>,
 ) -> Result<Running, Error> {
     let callers = setup
         .listen
         .callers
         .ok_or(Error::Missing("address for callers"))?;
     let process = setup.process();
-    let connections = Connections::new(Peer {
+    let local_peer = Peer {
         process: process.clone(),
         role: Role::Entry,
         instance: setup.instance.clone(),
         data_centre: setup.data_centre.clone(),
         has_disk: false,
         may_bootstrap: false,
-    });
+    };
+    let connections = Connections::new(local_peer, account.clone());
     let entry = Arc::new(Entry {
         dialect,
         fleet_state: FleetState::default(),
@@ -115,14 +126,15 @@
         turns: turns::Client::start(connections.clone(), metrics.clone()),
         connections: connections.clone(),
         metrics,
+        crashes: crashes::Crashes::default(),
         stopping: AtomicBool::new(false),
-        response_buffers: Arc::new(Semaphore::new(exchange::MAX_TOTAL_BUFFERED_BYTES)),
         recent_programs: Mutex::default(),
+        no_room_lines: Mutex::new(Limit::new(NO_ROOM_LINES)),
         setup,
     });
     connections.set_handler(entry.clone());
     let internal = entry.setup.internal_address()?;
-    link::listen(internal, entry.clone()).await?;
+    link::listen(internal, entry.clone(), account).await?;
     entry.connect(entry.setup.seed_processes());
     let (stop, stopped) = watch::channel(false);
     if let Some(ready) = entry.setup.listen.ready {
@@ -142,6 +154,8 @@
     tokio::spawn(async move { reporting.send_reports().await });
     let counting = entry.clone();
     tokio::spawn(async move { counting.send_demand().await });
+    let crashes = entry.clone();
+    tokio::spawn(async move { crashes.maintain_crashes().await });
     Ok(Running {
         entry,
         stop,
@@ -367,7 +381,10 @@
 
 /// Handles messages from control instances.
 impl Handler for Entry {
-    fn opened(&self, _peer: &id::Process, _hello: Option<&Peer>, _sender: &Sender) {}
+    fn opened(&self, _peer: &id::Process, _hello: Option<&Peer>, sender: &Sender) {
+        // A control instance that was started again knows nothing; stores ignore it.
+        self.send_known_crashes(sender);
+    }
 
     fn receive(&self, _peer: &id::Process, frame: Frame, sender: &Sender) {
         match frame {
@@ -387,6 +404,7 @@
                     servers.merge_report(now, report);
                 }
             }
+            Frame::Crashes(evidence) => self.merge_crashes(*evidence, Origin::Told),
             Frame::TotalDemand(data_centre, total) => {
                 lock(&self.servers).merge_demand(clock::now(), data_centre, total);
             }
--- a/crates/celerycove-gateway/src/entry/exchange.rs
+++ b/crates/celerycove-gateway/src/entry/exchange.rs
@@ -7,23 +7,27 @@
     Index,
     config::{Route, ServiceName},
 };
+use celerycove_quarantine::digest::{Digests, Subject};
 use celerycove_route::direct::{Outcome, Request as RouteRequest, Selection};
 use celerycove_types::{Timestamp, id};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{
-    HeaderMap, Method, Request, StatusCode, Uri, body::Incoming, header, http::response::Parts,
+    HeaderMap, Method, Request, StatusCode, Uri,
+    body::Incoming,
+    header,
+    http::{response::Parts, uri::PathAndQuery},
 };
 
-use tokio::sync::Semaphore;
-
 use super::{
     Entry, Refusal,
+    crashes::Broken,
     pool::{PooledConnection, SendError},
 };
 use crate::{
     clock,
     dialect::{Attempt, RequestMetadata, ResponseMetadata},
     link::lock,
+    memory::{Account, Part, Room},
 };
 
 /// A request with less time left than this is refused: sending it would waste a backend server's
@@ -34,8 +38,6 @@
 const MAX_TRIES: u32 = 5;
 /// Limit on a response that is buffered completely before it is forwarded.
 const MAX_BUFFERED_BYTES: usize = 16 << 20;
-/// Limit on all responses that are being buffered: part of the memory of the smallest instance.
-pub(super) const MAX_TOTAL_BUFFERED_BYTES: usize = 32 << 20;
 /// Multiple of the route's target latency after which a request that may be repeated is retried at
 /// another backend server.
 const RESPONSE_TIMEOUT_FACTOR: u32 = 3;
@@ -58,6 +60,8 @@
     pub(super) uri: Uri,
     pub(super) headers: HeaderMap,
     pub(super) body: Bytes,
+    /// The room that the body takes.
+    pub(super) body_room: Room,
     pub(super) started: Timestamp,
     /// When the request times out: the earlier of the caller's deadline and the route's timeout.
     pub(super) deadline: Timestamp,
@@ -73,6 +77,12 @@
     pub(super) sent: u32,
     /// All attempts, including those in which the request was not run.
     pub(super) tries: u32,
+    /// The body as the caller sent it.
+    pub(super) caller_body: Bytes,
+    /// The digests of the request, once they were needed.
+    pub(super) digests: Option<Digests>,
+    /// Whether a quarantined request is tried, on one backend server only.
+    pub(super) is_trial: bool,
 }
 
 /// A response whose head has arrived, with the connection that its body is read from.
@@ -83,6 +93,8 @@
     pub(super) metadata: ResponseMetadata,
     pub(super) body: Incoming,
     pub(super) connection: PooledConnection,
+    /// When the request was sent.
+    pub(super) sent_at: Timestamp,
 }
 
 /// A response that was read to its end.
@@ -116,6 +128,7 @@
             if self.deadline.saturating_sub(now) < MIN_TIME_LEFT {
                 return Err(self.timeout_refusal());
             }
+            self.check_quarantine()?;
             let Some(choice) = self.choose_backend(now) else {
                 return Err(self.no_backend_refusal());
             };
@@ -142,11 +155,10 @@
         loop {
             let exchange = self.begin_response(self.call.last_event).await?;
             let status = exchange.head.status;
-            let Some(response) = self.buffer(exchange).await else {
-                if self.may_retry() {
-                    continue;
-                }
-                return Err(Refusal::Failed);
+            let response = match self.buffer(exchange).await {
+                Ok(response) => response,
+                Err(BufferError::Interrupted) if self.may_retry() => continue,
+                Err(_) => return Err(Refusal::Failed),
             };
             let failed = status.is_server_error();
             if !failed || !self.may_retry() {
@@ -155,11 +167,63 @@
         }
     }
 
+    /// Returns the digests of the request.
+    fn digests(&mut self) -> Digests {
+        let subject = Subject {
+            organisation: self.organisation.as_deref(),
+            method: self.method.as_str(),
+            target: target(&self.uri),
+            previous_turn: self.call.previous_turn.as_deref(),
+            body: &self.caller_body,
+        };
+        *self.digests.get_or_insert_with(|| subject.digests())
+    }
+
+    /// Checks before each attempt but the first that the request has not been quarantined meanwhile.
+    fn check_quarantine(&mut self) -> Result<(), Refusal> {
+        if self.tries == 0 || self.is_trial || !self.entry.crashes.is_active() {
+            return Ok(());
+        }
+        let digests = self.digests();
+        match self.entry.check_quarantine(&self.request, &digests) {
+            Ok(is_trial) => {
+                self.is_trial = is_trial;
+                Ok(())
+            }
+            Err(_) if self.sent > 0 => Err(Refusal::Failed),
+            Err(refusal) => Err(refusal),
+        }
+    }
+
+    /// Records that the connection broke on which the request had been sent.
+    pub(super) fn record_break(&mut self, choice: &Selection, sent_at: Timestamp) {
+        let broken = Broken {
+            request: self.request.clone(),
+            digests: self.digests(),
+            organisation: self.organisation.clone().unwrap_or_else(|| "".into()),
+            started: sent_at,
+        };
+        self.entry.record_break(choice, broken);
+    }
+
+    /// Records that a backend server answered completely. An answer that ends with its connection
+    /// may have been cut short by a crash.
+    pub(super) fn record_whole_answer(&mut self, head: &Parts) {
+        let headers = &head.headers;
+        let is_delimited = headers.contains_key(header::CONTENT_LENGTH)
+            || headers.contains_key(header::TRANSFER_ENCODING);
+        if self.entry.crashes.is_active() && is_delimited {
+            let digests = self.digests();
+            self.entry.vindicate(&self.request, &digests);
+        }
+    }
+
     /// Returns whether the request may be sent to another backend server although one may have run
     /// it.
     pub(super) fn may_retry(&self) -> bool {
         let left = self.deadline.saturating_sub(clock::now());
         self.route.is_repeatable()
+            && !self.is_trial
             && self.sent < self.route.max_attempts.max(1)
             && left > MIN_TIME_LEFT
     }
@@ -209,10 +273,11 @@
             }
         };
         let guard = InFlightGuard::new(self, &choice);
+        let sent_at = clock::now();
         let response = tokio::time::timeout(self.head_timeout(), connection.send(request)).await;
         guard.disarm();
         match response {
-            Ok(Ok(response)) => self.classify(choice, response.into_parts(), connection),
+            Ok(Ok(response)) => self.classify(choice, response.into_parts(), connection, sent_at),
             Ok(Err(SendError::NotSent)) => {
                 // A pooled connection that was closed while idle is no sign of a failed backend
                 // server.
@@ -227,6 +292,7 @@
             }
             Ok(Err(SendError::Broken(error))) => {
                 self.record_attempt(&choice, Outcome::Failed, "broken", &error);
+                self.record_break(&choice, sent_at);
                 self.exclude_after_send(choice);
                 AttemptOutcome::MayHaveRun(Refusal::Failed)
             }
@@ -271,6 +337,7 @@
         choice: Selection,
         (head, body): (Parts, Incoming),
         connection: PooledConnection,
+        sent_at: Timestamp,
     ) -> AttemptOutcome {
         let metadata = self.entry.dialect.response_metadata(&head);
         let misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
@@ -308,6 +375,7 @@
             metadata,
             body,
             connection,
+            sent_at,
         }))
     }
 
@@ -333,24 +401,46 @@
         Ok(request)
     }
 
-    /// Reads a response to its end; returns `None` if it is interrupted or too long.
-    pub(super) async fn buffer(&mut self, exchange: Exchange) -> Option<BufferedResponse> {
+    /// Reads a response to its end.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it is interrupted or too long, or if there is no room for it.
+    pub(super) async fn buffer(
+        &mut self,
+        exchange: Exchange,
+    ) -> Result<BufferedResponse, BufferError> {
         let Exchange {
             choice,
             head,
             metadata,
             body,
             connection,
+            sent_at,
         } = exchange;
         let left = self.deadline.saturating_sub(clock::now());
         let guard = InFlightGuard::new(self, &choice);
-        let collected = collect(body, &self.entry.response_buffers);
+        let collected = collect(body, self.entry.connections.account());
         let collected = tokio::time::timeout(left, collected).await;
         guard.disarm();
-        let Ok(Some(collected)) = collected else {
-            self.record_attempt(&choice, Outcome::Failed, "broken off", &head.status);
-            self.excluded.push(choice.backend);
-            return None;
+        let is_in_time = collected.is_ok();
+        let collected = match collected.unwrap_or(Err(BufferError::Interrupted)) {
+            Ok(collected) => collected,
+            Err(BufferError::NoRoom) => {
+                // The backend server is not to blame.
+                let detail = &head.status;
+                self.record_attempt(&choice, Outcome::Abandoned, "no memory", detail);
+                self.entry.log_no_room(Part::Responses);
+                return Err(BufferError::NoRoom);
+            }
+            Err(BufferError::Interrupted) => {
+                self.record_attempt(&choice, Outcome::Failed, "broken off", &head.status);
+                if is_in_time {
+                    self.record_break(&choice, sent_at);
+                }
+                self.excluded.push(choice.backend);
+                return Err(BufferError::Interrupted);
+            }
         };
         if keeps_alive(&head) {
             connection.release(metadata.idle_timeout);
@@ -364,8 +454,9 @@
             );
         } else {
             self.record_attempt(&choice, Outcome::Answered, "answered", &head.status);
+            self.record_whole_answer(&head);
         }
-        Some(BufferedResponse {
+        Ok(BufferedResponse {
             head,
             body: collected,
         })
@@ -409,21 +500,48 @@
     }
 }
 
-/// Reads a body to its end. Returns `None` if it is interrupted, or if it exceeds the limit on one
-/// body or on all that are being read.
-async fn collect(body: Incoming, buffers: &Arc<Semaphore>) -> Option<Bytes> {
+/// Why a response was not read to its end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum BufferError {
+    /// It was interrupted, took too long, or exceeds the limit on one response.
+    Interrupted,
+    /// Other responses take the memory that it needs.
+    NoRoom,
+}
+
+/// Bytes with the room that they take until the caller has received them.
+struct Counted {
+    bytes: BytesMut,
+    _room: Room,
+}
+
+impl AsRef<[u8]> for Counted {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+/// Returns the path and query of a request.
+pub(super) fn target(uri: &Uri) -> &str {
+    uri.path_and_query().map_or("", PathAndQuery::as_str)
+}
+
+/// Reads a body to its end.
+async fn collect(body: Incoming, account: &Arc<Account>) -> Result<Bytes, BufferError> {
     let mut body = Limited::new(body, MAX_BUFFERED_BYTES);
-    let mut collected = BytesMut::new();
-    let mut reserved = Vec::new();
+    let mut bytes = BytesMut::new();
+    let mut room = account.empty(Part::Responses);
     while let Some(frame) = body.frame().await {
-        let Ok(data) = frame.ok()?.into_data() else {
+        let frame = frame.map_err(|_| BufferError::Interrupted)?;
+        let Ok(data) = frame.into_data() else {
             continue;
         };
-        let length = u32::try_from(data.len()).ok()?;
-        reserved.push(buffers.clone().try_acquire_many_owned(length).ok()?);
-        collected.extend_from_slice(&data);
+        if !room.try_extend(data.len()) {
+            return Err(BufferError::NoRoom);
+        }
+        bytes.extend_from_slice(&data);
     }
-    Some(collected.freeze())
+    Ok(Bytes::from_owner(Counted { bytes, _room: room }))
 }
 
 /// Returns whether the connection stays open after a response.
--- a/crates/celerycove-gateway/src/entry/refuse.rs
+++ b/crates/celerycove-gateway/src/entry/refuse.rs
@@ -30,6 +30,8 @@
     TooLong,
     /// The request's body was not received completely or in time.
     BodyBroken,
+    /// Other requests take the memory that the request needs.
+    NoMemory,
     /// The organisation exceeds its rate limit; a token is expected after the given time.
     OverRate(Duration),
     /// The program's remaining token budget is smaller than the turn may need.
@@ -38,6 +40,8 @@
     NoTurn,
     /// The stores are out of reach; they are expected back after the given time.
     NoStore(Duration),
+    /// The request has crashed the backend servers that ran it; it is held back for the given time.
+    Quarantined(Duration),
     /// No backend server can take the request now.
     NoServer,
     /// All backend servers that were tried declined the request or were out of reach.
@@ -53,7 +57,7 @@
 /// `Retry-After` for refusals without a better estimate: about the time in which a failed leader is
 /// replaced.
 const RETRY_AFTER_UNAVAILABLE: Duration = Duration::from_millis(400);
-/// `Retry-After` if the backend servers are at capacity: about the duration of one request.
+/// `Retry-After` if the backend servers or this instance's memory are at capacity: about the duration of one request.
 const RETRY_AFTER_FULL: Duration = Duration::from_millis(150);
 
 impl Refusal {
@@ -71,9 +75,13 @@
             Self::OverRate(_) => StatusCode::TOO_MANY_REQUESTS,
             Self::Failed => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
-            Self::NotReady | Self::NoStore(_) | Self::NoServer | Self::Declined | Self::TooLate => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::NotReady
+            | Self::NoMemory
+            | Self::NoStore(_)
+            | Self::Quarantined(_)
+            | Self::NoServer
+            | Self::Declined
+            | Self::TooLate => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 
@@ -86,9 +94,11 @@
     /// Returns the delay after which the caller may retry, if a retry makes sense.
     fn retry_after(self) -> Option<Duration> {
         match self {
-            Self::OverRate(delay) | Self::NoStore(delay) => Some(delay.max(RETRY_AFTER_FULL)),
+            Self::OverRate(delay) | Self::NoStore(delay) | Self::Quarantined(delay) => {
+                Some(delay.max(RETRY_AFTER_FULL))
+            }
             Self::NotReady | Self::NoServer => Some(RETRY_AFTER_UNAVAILABLE),
-            Self::Declined => Some(RETRY_AFTER_FULL),
+            Self::NoMemory | Self::Declined => Some(RETRY_AFTER_FULL),
             _ => None,
         }
     }
--- a/crates/celerycove-gateway/src/entry/serve.rs
+++ b/crates/celerycove-gateway/src/entry/serve.rs
@@ -10,6 +10,8 @@
     Index,
     config::{Kind, Organisation, Route},
 };
+use celerycove_log::limit;
+use celerycove_quarantine::digest::Subject;
 use celerycove_route::direct::affinity_hash;
 use celerycove_turn::{Begin, Outcome};
 use celerycove_types::{Timestamp, id};
@@ -23,7 +25,7 @@
 use super::{
     Entry, Refusal,
     chains::Chain,
-    exchange::Dispatch,
+    exchange::{Dispatch, target},
     hop::strip_hop_by_hop,
     rate_limit::Claim,
     relay::{Relay, ReservationGuard, RetainedTurn},
@@ -33,6 +35,7 @@
     dialect::RequestMetadata,
     http::{self, Body, BodyError},
     link::lock,
+    memory::{Part, Room},
 };
 
 /// Time limit for the stores to begin a turn; after that the caller is told to retry.
@@ -114,11 +117,26 @@
             .clone()
             .ok_or(Refusal::Malformed("request id"))?;
         let limit = admitted.index.config().limits.body_bytes;
-        let body = http::read_body(body, limit).await;
+        let body = http::read_body(body, limit, self.connections.account()).await;
         let body = body.map_err(|error| match error {
             BodyError::TooLong => Refusal::TooLong,
             BodyError::Incomplete => Refusal::BodyBroken,
+            BodyError::NoRoom => self.refuse_for_memory(Part::CallerBodies),
         })?;
+        let digests = self.crashes.is_active().then(|| {
+            let subject = Subject {
+                organisation: admitted.organisation.as_deref(),
+                method: head.method.as_str(),
+                target: target(&head.uri),
+                previous_turn: call.previous_turn.as_deref(),
+                body: &body.0,
+            };
+            subject.digests()
+        });
+        let is_trial = match &digests {
+            Some(digests) => self.check_quarantine(&request, digests)?,
+            None => false,
+        };
         let claim = self.token_claim(&admitted, &call);
         if let Some(organisation) = &admitted.organisation {
             self.spend_token(organisation, claim, &request, &call)
@@ -126,7 +144,8 @@
         }
         let organisation = admitted.organisation.clone();
         let entry = self.clone();
-        let dispatch = self.new_dispatch(started, head, body, call, request, admitted)?;
+        let mut dispatch = self.new_dispatch(started, head, body, call, request, admitted)?;
+        (dispatch.digests, dispatch.is_trial) = (digests, is_trial);
         let result = if dispatch.route.kind == Kind::Streaming {
             forward_stream(dispatch).await
         } else {
@@ -140,6 +159,21 @@
         result
     }
 
+    /// Logs that a part has no room for a request, and returns the refusal.
+    fn refuse_for_memory(&self, part: Part) -> Refusal {
+        self.log_no_room(part);
+        Refusal::NoMemory
+    }
+
+    /// Logs that a part has no room.
+    pub(super) fn log_no_room(&self, part: Part) {
+        if let Some(limit::Admitted { held_back }) = lock(&self.no_room_lines).admit(clock::now()) {
+            let account = self.connections.account();
+            log::warn!(target: "entry", part = part.name(), used = account.used(part),
+                limit = account.limit(part), held_back; "no room in a part of the memory");
+        }
+    }
+
     /// Spends a token of the organisation's rate limit and records that the program was admitted.
     async fn spend_token(
         &self,
@@ -209,7 +243,7 @@
         self: Arc<Self>,
         started: Timestamp,
         head: Parts,
-        body: Bytes,
+        (body, body_room): (Bytes, Room),
         call: RequestMetadata,
         request: id::Request,
         admitted: Admitted,
@@ -241,7 +275,9 @@
             method: head.method,
             uri: head.uri,
             headers,
+            caller_body: body.clone(),
             body,
+            body_room,
             started,
             deadline: started + timeout.min(route.timeout),
             caller_deadline: started + timeout,
@@ -250,6 +286,8 @@
             excluded: Vec::new(),
             sent: 0,
             tries: 0,
+            digests: None,
+            is_trial: false,
         })
     }
 }
@@ -298,7 +336,7 @@
     if dispatch.route.stores_turns || dispatch.call.budget.is_some() {
         let (guard, chain) = begin_turn(&dispatch).await?;
         if dispatch.route.stores_turns {
-            retained = Some(prepend_chain(&mut dispatch, chain));
+            retained = Some(prepend_chain(&mut dispatch, chain)?);
         }
         reservation = Some(guard);
     }
@@ -309,7 +347,8 @@
         .get(header::CONTENT_TYPE)
         .is_some_and(|kind| kind.as_bytes().starts_with(b"text/event-stream"));
     if !is_stream || !exchange.head.status.is_success() {
-        let response = dispatch.buffer(exchange).await.ok_or(Refusal::Failed)?;
+        let response = dispatch.buffer(exchange).await;
+        let response = response.map_err(|_| Refusal::Failed)?;
         return Ok(complete_response(&dispatch, response));
     }
     let service = dispatch.index.service(&dispatch.service);
@@ -391,18 +430,21 @@
 }
 
 /// Prepends the chain to the turn's input, since the engine needs the whole history.
-fn prepend_chain(dispatch: &mut Dispatch, chain: Chain) -> RetainedTurn {
+fn prepend_chain(dispatch: &mut Dispatch, chain: Chain) -> Result<RetainedTurn, Refusal> {
     let input = dispatch.body.clone();
     let length = chain.iter().map(Bytes::len).sum::<usize>() + input.len();
+    if !dispatch.body_room.try_extend(length) {
+        return Err(dispatch.entry.refuse_for_memory(Part::CallerBodies));
+    }
     let mut body = BytesMut::with_capacity(length);
     for text in chain.iter() {
         body.extend_from_slice(text);
     }
     body.extend_from_slice(&input);
     dispatch.body = body.freeze();
-    RetainedTurn {
+    Ok(RetainedTurn {
         previous: dispatch.call.previous_turn.clone(),
         chain,
         text: BytesMut::from(&input[..]),
-    }
+    })
 }
--- a/crates/celerycove-gateway/src/replica.rs
+++ b/crates/celerycove-gateway/src/replica.rs
@@ -9,7 +9,7 @@
 
 use arc_swap::ArcSwap;
 use celerycove_control::{
-    Action, Answer, Event, Message, Node, Options, State,
+    Action, Answer, Entry, Event, Message, Node, Options, State,
     log::{Command, Members, Usage},
     message::Body,
     node::Proposed,
@@ -21,7 +21,8 @@
 
 use crate::{
     clock,
-    link::{self, Connections, lock},
+    link::{Connections, Encoded, lock},
+    memory::{Account, Part, Room},
     message::Frame,
 };
 
@@ -44,20 +45,25 @@
 
 /// Returns the timing of a log. An election takes one to two election timeouts, so a lost leader is
 /// replaced within a third of the time in which acknowledgements are due. A snapshot replaces
-/// `snapshot_interval` entries, or fewer if they would exceed `max_log_bytes`.
+/// `snapshot_interval` entries, or fewer if they take up too much memory.
 #[must_use]
-pub fn options(snapshot_interval: u64, max_log_bytes: u64) -> Options {
+pub fn options(snapshot_interval: u64) -> Options {
     Options {
         heartbeat_interval: Duration::from_millis(80),
         election_timeout: Duration::from_millis(320),
         snapshot_interval,
-        max_log_bytes,
+        ..Options::default()
     }
 }
 
 /// What the replica processes besides timer ticks.
 enum Input {
-    Message(id::Process, Box<Message>),
+    Message {
+        from: id::Process,
+        message: Box<Message>,
+        /// The room that the message takes until it is processed.
+        room: Option<Room>,
+    },
     Propose(Command, oneshot::Sender<Answer>),
 }
 
@@ -94,11 +100,13 @@
 /// A handle to the local replica of a replicated log.
 pub struct Replica {
     inputs: mpsc::Sender<Input>,
+    account: Arc<Account>,
     status: ArcSwap<Status>,
 }
 
 impl Replica {
-    /// Opens the log and starts the task that runs it. `initial_members` bootstraps a new log.
+    /// Opens the log and starts the task that runs it. `initial_members` bootstraps a new log. The
+    /// account of the connections bounds what the log holds.
     ///
     /// # Errors
     ///
@@ -111,11 +119,17 @@
         options: Options,
         on_applied: ApplyCallback,
     ) -> Result<Arc<Self>, Error> {
+        let account = connections.account().clone();
+        let options = Options {
+            max_log_bytes: account.limit(Part::Log) as u64,
+            ..options
+        };
         let seed = rand::random();
         let node = Node::open(me, initial_members, storage, options, seed, clock::now())?;
         let (inputs, queue) = mpsc::channel(INPUT_QUEUE_LEN);
         let replica = Arc::new(Self {
             inputs,
+            account,
             status: ArcSwap::from_pointee(Status::default()),
         });
         on_applied(node.state(), node.applied_index());
@@ -140,17 +154,37 @@
         self.status.load_full()
     }
 
-    /// Queues a message from another member, or drops it if the queue is full.
+    /// Queues a message from another member, or drops it if there is no room in the queue.
     pub fn receive(&self, from: &id::Process, message: Box<Message>) {
-        if self
-            .inputs
-            .try_send(Input::Message(from.clone(), message))
-            .is_err()
-        {
-            log::warn!(target: "log", "dropped a message of the log: the queue is full");
+        let bytes = payload_bytes(&message);
+        let room = (bytes > 0).then(|| self.reserve(bytes));
+        let is_queued = match room {
+            Some(None) => false,
+            room => {
+                let (from, room) = (from.clone(), room.flatten());
+                let input = Input::Message {
+                    from,
+                    message,
+                    room,
+                };
+                self.inputs.try_send(input).is_ok()
+            }
+        };
+        if !is_queued {
+            log::warn!(target: "log", from:% = from, bytes, waiting = self.account.used(Part::LogInput);
+                "dropped a message of the log: the queue is full");
         }
     }
 
+    /// Reserves room for a message that waits. If none waits, there is room for one of any size, so
+    /// that no entry is too large to be replicated.
+    fn reserve(&self, bytes: usize) -> Option<Room> {
+        if self.account.used(Part::LogInput) == 0 {
+            return Some(self.account.reserve_over_limit(Part::LogInput, bytes));
+        }
+        self.account.try_reserve(Part::LogInput, bytes)
+    }
+
     /// Proposes a command and waits for its outcome: [`Answer::Unknown`] after `timeout`.
     pub async fn propose(&self, command: Command, timeout: Duration) -> Answer {
         match self.submit(command).await {
@@ -171,6 +205,18 @@
     }
 }
 
+/// Returns about how many bytes of entries or of a snapshot a message carries.
+fn payload_bytes(message: &Message) -> usize {
+    match &message.body {
+        Body::Append { entries, .. } => {
+            let bytes: u64 = entries.iter().map(Entry::encoded_bytes).sum();
+            usize::try_from(bytes).unwrap_or(usize::MAX)
+        }
+        Body::Install { part, .. } => part.len(),
+        _ => 0,
+    }
+}
+
 /// The task that runs the replica.
 struct Runner {
     node: Node,
@@ -217,7 +263,11 @@
         let mut halted = next.is_none() && self.handle(Event::Tick);
         while let Some(input) = next {
             match input {
-                Input::Message(from, message) => {
+                Input::Message {
+                    from,
+                    message,
+                    room: _room,
+                } => {
                     let message = *message;
                     halted |= self.handle(Event::Message { from, message });
                 }
@@ -277,16 +327,16 @@
             Body::Append { entries, .. } => entries.len(),
             _ => 0,
         };
-        let Some(encoded) = link::encode(&Frame::Log(Box::new(message))) else {
+        let Some(encoded) = Encoded::new(&Frame::Log(Box::new(message))) else {
             return;
         };
-        if encoded.len() >= LARGE_MESSAGE_BYTES
+        if encoded.length() >= LARGE_MESSAGE_BYTES
             && let Some(Admitted { held_back }) = self.large_messages.admit(clock::now())
         {
-            log::info!(target: "log", to:% = to, entries, bytes = encoded.len(), held_back;
+            log::info!(target: "log", to:% = to, entries, bytes = encoded.length(), held_back;
                 "sending a large message of the log");
         }
-        self.connections.send_encoded(to, encoded);
+        self.connections.send_encoded(to, &encoded);
     }
 
     /// Logs that a command was refused, which its proposer sees only as one that may not be committed.
@@ -319,6 +369,12 @@
     fn publish_status(&mut self) {
         let usage = self.node.log_usage();
         self.log_size(usage);
+        let account = &self.replica.account;
+        account.set(
+            Part::Log,
+            usize::try_from(usage.bytes).unwrap_or(usize::MAX),
+        );
+        account.set(Part::Snapshots, self.node.transfer_bytes());
         let now = clock::now();
         let time_of = |age: Option<Duration>| age.map(|age| now.saturating_sub(age));
         let before = self.replica.status.load();
--- a/crates/celerycove-gateway/tests/callers/fleet.rs
+++ b/crates/celerycove-gateway/tests/callers/fleet.rs
@@ -11,6 +11,7 @@
 use bytes::Bytes;
 use celerycove_gateway::{
     Setup, control, entry,
+    memory::{Account, Budget},
     metrics::Metrics,
     setup::{ListenAddresses, Role, TimeLimits},
     store,
@@ -18,7 +19,11 @@
 use http_body_util::{BodyExt, Full};
 use hyper::{Request, Response, body::Incoming, client::conn::http1::handshake};
 use hyper_util::rt::TokioIo;
-use tokio::{io::AsyncReadExt, net::TcpStream, sync::watch};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    sync::watch,
+};
 
 use crate::{
     backend::{Backend, ExecutedRequest, Failure, Failures},
@@ -31,6 +36,8 @@
 const PORTS: std::ops::Range<u16> = 21_000..29_000;
 /// The port that claims a block, and those of the deployment.
 const BLOCK_PORTS: u16 = 10;
+/// The memory limit of a small deployment.
+const MEMORY_LIMIT_BYTES: usize = 88_000_000;
 const CONFIG: &str = "version=2\nroute=plain /plain/ app\nroute=once /once/ app\n\
     route=kept /kept/ app\nroute=resumable /resumable/ app\n";
 
@@ -175,20 +182,24 @@
                 grace_period: Duration::from_secs(8),
                 replacement: Duration::from_secs(4),
             },
+            memory: Budget::new(MEMORY_LIMIT_BYTES, role).expect("a budget"),
         };
         for name in ["control", "store"] {
             std::fs::create_dir_all(folder.join(name)).expect("a folder");
         }
         let (stop, stopped) = watch::channel(false);
         let control = setup(Role::Control, Some("control"));
-        control::start(control, Arc::new(TestDialect), stopped)
+        let account = Account::new(control.memory);
+        control::start(control, Arc::new(TestDialect), account, stopped)
             .await
             .expect("a control instance");
-        store::start(setup(Role::Store, Some("store")))
-            .await
-            .expect("a store");
+        let store = setup(Role::Store, Some("store"));
+        let account = Account::new(store.memory);
+        store::start(store, account).await.expect("a store");
         let metrics = Metrics::new().expect("metrics");
-        let entry = entry::start(setup(Role::Entry, None), Arc::new(TestDialect), metrics)
+        let entry = setup(Role::Entry, None);
+        let account = Account::new(entry.memory);
+        let entry = entry::start(entry, Arc::new(TestDialect), metrics, account)
             .await
             .expect("an entry");
         let failures = Failures::default();
@@ -241,6 +252,41 @@
             .status
     }
 
+    /// Sends a configuration to the control instance and returns the response.
+    pub async fn configure_with_reply(&self, config: String) -> Reply {
+        self.call_control("PUT", "/config", config).await
+    }
+
+    /// Begins to send a configuration of the declared length: all of it but the last byte.
+    pub async fn begin_config(&self, length: usize) -> TcpStream {
+        let stream = TcpStream::connect(self.control_address);
+        let mut stream = stream.await.expect("a connection");
+        let head = format!("PUT /config HTTP/1.1\r\nhost: x\r\ncontent-length: {length}\r\n\r\n");
+        stream.write_all(head.as_bytes()).await.expect("sent");
+        tokio::spawn(async move {
+            // The instance may stop reading and respond.
+            let _ = stream.write_all(&vec![b'x'; length - 1]).await;
+            stream
+        })
+        .await
+        .expect("no panic")
+    }
+
+    /// Begins a request whose body has the given length: all of it but the last byte. The body is sent
+    /// in the background, as far as the entry reads it.
+    pub async fn begin_call(&self, id: &str, length: usize) -> TcpStream {
+        let stream = TcpStream::connect(self.caller_address);
+        let mut stream = stream.await.expect("a connection");
+        let head = format!(
+            "POST /plain/x HTTP/1.1\r\nhost: test\r\nid: {id}\r\nkey: key-1\r\n\
+             content-length: {length}\r\n\r\n"
+        );
+        stream.write_all(head.as_bytes()).await.expect("sent");
+        // The entry may stop reading and respond.
+        let _ = stream.write_all(&vec![b'x'; length - 1]).await;
+        stream
+    }
+
     pub async fn read_config(&self) -> String {
         let reply = self.call_control("GET", "/config", String::new()).await;
         assert_eq!(reply.status, 200);
