fix(gateway): complete a retirement only by the confirmed leader's list of members

Cause: the control instance asked the stores in the order of their names and believed the first that replied; each replied from the list of members of its own replica. A store that was replaced while it was down keeps the list from before its replacement, in which the retiring store is no member.

Change: the question goes to the leader of the stores' log, which a majority must confirm after it was asked; the members count once their change is committed, and all of them must hold a vote. What a follower knows decides nothing any more, whatever its age. Ruled out: asking several stores and taking the majority of their answers, as lists of equal age can all be old.

--- a/crates/celerycove-control/src/membership.rs
+++ b/crates/celerycove-control/src/membership.rs
@@ -98,6 +98,21 @@
     rebalance(own_id, members, candidates, successor)
 }
 
+/// Whether an instance may be taken away together with its disk: it is not a member, and the members
+/// are as many as desired and all hold a vote, so that they bear the loss of further disks.
+///
+/// `members` must be committed, and `voters` those of a leader that a quorum has confirmed since the
+/// question was asked: the members that a replica knows may be of any age.
+#[must_use]
+pub fn is_dispensable(
+    instance: &id::Process,
+    members: &Members,
+    voters: &Members,
+    options: Options,
+) -> bool {
+    !members.contains(instance) && members.len() >= options.target && members.is_subset(voters)
+}
+
 /// Chooses the first members of a new log among instances with an empty disk.
 ///
 /// The data centres are used in turn. The number of members is odd if there are more than two,
--- a/crates/celerycove-control/src/node.rs
+++ b/crates/celerycove-control/src/node.rs
@@ -262,6 +262,12 @@
         &self.machine.members
     }
 
+    /// Whether the entry that set the [`members`](Self::members) is known to be committed.
+    #[must_use]
+    pub fn has_committed_members(&self) -> bool {
+        self.machine.members_index <= self.machine.commit_index
+    }
+
     /// On a leader, the members that stated in one of the last rounds that they may vote, itself
     /// included. Older statements don't count, as a member can lose its disk, and with it the right
     /// to vote, at any time.
--- a/crates/celerycove-control/src/raft.rs
+++ b/crates/celerycove-control/src/raft.rs
@@ -71,6 +71,8 @@
     pub(crate) snapshot_members: Members,
     /// The members as of the last entry in the log, committed or not.
     pub(crate) members: Members,
+    /// The index of the entry, or of the snapshot, that [`members`](Self::members) are from.
+    pub(crate) members_index: Index,
     pub(crate) leader: Option<id::Process>,
     pub(crate) now: Timestamp,
     pub(crate) election_deadline: Timestamp,
@@ -144,6 +146,7 @@
             applied_index: snapshot.index,
             snapshot_members: snapshot.members.clone(),
             members: snapshot.members,
+            members_index: snapshot.index,
             leader: None,
             now,
             election_deadline: now,
@@ -228,15 +231,18 @@
         self.log.append(entries);
         if overwrites {
             self.refresh_members();
-        } else if let Some(members) = latest_members(entries.iter()) {
+        } else if let Some((index, members)) = latest_members(entries.iter()) {
             self.members = members;
+            self.members_index = index;
         }
     }
 
     /// Sets the members from the last `Members` entry, committed or not, or else from the snapshot.
     pub(crate) fn refresh_members(&mut self) {
-        let latest = latest_members(self.log.iter());
-        self.members = latest.unwrap_or_else(|| self.snapshot_members.clone());
+        let of_snapshot = || (self.log.snapshot_index(), self.snapshot_members.clone());
+        let (index, members) = latest_members(self.log.iter()).unwrap_or_else(of_snapshot);
+        self.members = members;
+        self.members_index = index;
     }
 
     /// Advances the commit index, applies the newly committed entries and compacts the log.
@@ -317,7 +323,7 @@
     /// Returns the members as of an entry that is not older than the snapshot.
     pub(crate) fn members_at(&self, index: Index) -> Members {
         let until = self.log.iter().take_while(|entry| entry.index <= index);
-        latest_members(until).unwrap_or_else(|| self.snapshot_members.clone())
+        latest_members(until).map_or_else(|| self.snapshot_members.clone(), |(_, members)| members)
     }
 
     /// Replaces the log and the state with a leader's snapshot.
@@ -358,11 +364,13 @@
     }
 }
 
-/// Returns the members from the last `Members` entry.
-fn latest_members<'a>(entries: impl Iterator<Item = &'a Entry>) -> Option<Members> {
+/// Returns the members from the last `Members` entry, and its index.
+fn latest_members<'a>(entries: impl Iterator<Item = &'a Entry>) -> Option<(Index, Members)> {
     let changes = entries.filter_map(|entry| match &entry.command {
-        Command::Members(members) => Some(members),
+        Command::Members(members) => Some((entry.index, members)),
         _ => None,
     });
-    changes.last().cloned()
+    changes
+        .last()
+        .map(|(index, members)| (index, members.clone()))
 }
--- a/crates/celerycove-control/tests/membership.rs
+++ b/crates/celerycove-control/tests/membership.rs
@@ -159,3 +159,21 @@
     let two = available(&[("a", "x"), ("b", "y")]);
     assert_eq!(initial_members(&two, 3), members(&["a", "b"]));
 }
+
+/// Guards against taking away an instance on which the log still depends.
+#[test]
+fn an_instance_may_be_taken_away_once_enough_others_hold_a_vote() {
+    let is_dispensable = |current: &[&str], voters: &[&str]| {
+        membership::is_dispensable(&"d".into(), &members(current), &members(voters), OPTIONS)
+    };
+    assert!(is_dispensable(&["a", "b", "c"], &["a", "b", "c"]));
+    assert!(!is_dispensable(
+        &["a", "b", "c", "d"],
+        &["a", "b", "c", "d"]
+    ));
+    assert!(!is_dispensable(&["a", "b"], &["a", "b"]), "too few members");
+    assert!(
+        !is_dispensable(&["a", "b", "c"], &["a", "b"]),
+        "c is not caught up, or lost"
+    );
+}
--- a/crates/celerycove-gateway/src/control.rs
+++ b/crates/celerycove-gateway/src/control.rs
@@ -396,21 +396,14 @@
     }
 
     async fn read_latest_locally(&self) -> Reply {
-        let began = clock::now();
-        while clock::now().saturating_sub(began) < COMMIT_TIMEOUT {
-            let Some(replica) = self.replica() else {
-                break;
-            };
-            let status = replica.status();
-            if !status.is_leader {
-                return Reply::NotLeader(status.leader.clone());
-            }
-            if status.confirmed_at.is_some_and(|at| at >= began) {
-                return Reply::State(self.applied.load().1.clone());
-            }
-            tokio::time::sleep(Duration::from_millis(15)).await;
+        let Some(replica) = self.replica() else {
+            return Reply::NotLeader(None);
+        };
+        match replica.confirm_leadership(COMMIT_TIMEOUT).await {
+            Ok(_) => Reply::State(self.applied.load().1.clone()),
+            Err(Some(leader)) => Reply::NotLeader(Some(leader)),
+            Err(None) => Reply::Unknown,
         }
-        Reply::Unknown
     }
 
     /// Starts to lease tokens in a term. Called as soon as this process is the leader: the waiting
@@ -512,7 +505,7 @@
                 None => Reply::NotLeader(self.leader()),
             },
             RpcRequest::Relay(request) => self.relay(*request).await,
-            RpcRequest::Turns(_) | RpcRequest::IsMember(_) => Reply::NotLeader(None),
+            RpcRequest::Turns(_) | RpcRequest::IsDispensable(_) => Reply::NotLeader(None),
         }
     }
 }
--- a/crates/celerycove-gateway/src/control/api.rs
+++ b/crates/celerycove-gateway/src/control/api.rs
@@ -1,6 +1,10 @@
 //! The HTTP API of a control instance, for operators and backend servers.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeSet, VecDeque},
+    sync::Arc,
+    time::Duration,
+};
 
 use celerycove_fleet::{
     Command,
@@ -30,6 +34,9 @@
 const ACKNOWLEDGE_TIMEOUT: Duration = Duration::from_millis(500);
 /// How long a request to a store may take.
 const STORE_REQUEST_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long the state of a retirement may take to find out; shorter than the second after which an
+/// operator tries another instance.
+const RETIREMENT_STATE_TIMEOUT: Duration = Duration::from_millis(900);
 /// `Retry-After` for a request that finds no room for its body: longer than most commits take.
 const RETRY_AFTER_NO_ROOM_SECONDS: &str = "1";
 
@@ -252,35 +259,58 @@
         }
     }
 
-    /// Responds whether a retirement is completed: the store is no longer a member and the log has
-    /// enough members. Asks the other stores that were heard from recently, until one replies.
+    /// Responds whether a retirement is completed, as the leader of the stores' log knows.
     async fn retirement_state(&self, instance: &Arc<str>) -> Response<Body> {
-        let Reply::State(fleet) = self.read_latest().await else {
-            return unavailable("the newest state is not known for sure");
-        };
-        let Some(store) = fleet.retiring.get(instance) else {
-            return http::text_response(StatusCode::NOT_FOUND, "no such retirement");
-        };
-        for status in self.fleet_state.peers(Role::Store) {
-            if status.silent > super::QUORUM_TIMEOUT || status.peer.process == *store {
+        let state = tokio::time::timeout(RETIREMENT_STATE_TIMEOUT, async {
+            let Reply::State(fleet) = self.read_latest().await else {
+                return unavailable("the newest state is not known for sure");
+            };
+            let Some(store) = fleet.retiring.get(instance) else {
+                return http::text_response(StatusCode::NOT_FOUND, "no such retirement");
+            };
+            match self.is_dispensable(store).await {
+                Some(completed) => {
+                    http::json_response(StatusCode::OK, self.dialect.retirement_body(completed))
+                }
+                None => unavailable("the leader of the stores can't be asked"),
+            }
+        });
+        state
+            .await
+            .unwrap_or_else(|_| unavailable("the stores took too long to reply"))
+    }
+
+    /// Asks the leader of the stores' log whether a store may be taken away; `None` if it can't be
+    /// reached or can't prove that it leads. Other stores only name the leader: what they know of
+    /// the members may be of any age.
+    async fn is_dispensable(&self, store: &id::Process) -> Option<bool> {
+        let stores = self.fleet_state.peers(Role::Store).into_iter();
+        let mut next: VecDeque<id::Process> = stores
+            .filter(|status| status.silent < super::QUORUM_TIMEOUT)
+            .map(|status| status.peer.process)
+            .collect();
+        let mut asked = BTreeSet::new();
+        while let Some(process) = next.pop_front() {
+            if !asked.insert(process.clone()) {
                 continue;
             }
-            let request = RpcRequest::IsMember(store.clone());
+            let request = RpcRequest::IsDispensable(store.clone());
             let reply = self
                 .connections
-                .request(&status.peer.process, request, STORE_REQUEST_TIMEOUT)
+                .request(&process, request, STORE_REQUEST_TIMEOUT)
                 .await;
-            if let Ok(Reply::Member(is_member, count)) = reply {
-                let completed = !is_member && count >= self.setup.target_members();
-                log::info!(target: "place", instance:% = instance, member = is_member, count;
-                    "retirement checked");
-                return http::json_response(
-                    StatusCode::OK,
-                    self.dialect.retirement_body(completed),
-                );
+            match reply {
+                Ok(Reply::Dispensable(dispensable)) => {
+                    log::info!(target: "place", store:% = store, leader:% = process, dispensable;
+                        "retirement checked");
+                    return Some(dispensable);
+                }
+                Ok(Reply::NotLeader(Some(leader))) => next.push_front(leader),
+                reply => log::info!(target: "place", store:% = store, asked:% = process, reply:?;
+                    "a store can't tell whether a retirement is completed"),
             }
         }
-        unavailable("no store can tell")
+        None
     }
 }
 
--- a/crates/celerycove-gateway/src/message.rs
+++ b/crates/celerycove-gateway/src/message.rs
@@ -87,8 +87,8 @@
     Read,
     /// Passes the request on to the leader of the receiver's log, for a sender that can't reach it.
     Relay(Box<RpcRequest>),
-    /// Checks whether a store is still a member; handled by any member of the stores' log.
-    IsMember(id::Process),
+    /// Asks whether a store may be taken away; handled by the leader of the stores' log.
+    IsDispensable(id::Process),
 }
 
 /// The reply to an [`RpcRequest`].
@@ -102,8 +102,8 @@
     Committed,
     /// The newest state.
     State(Arc<Fleet>),
-    /// Whether the store is a member, and how many members there are.
-    Member(bool, usize),
+    /// Whether the store may be taken away: the leader's answer, which a majority has confirmed.
+    Dispensable(bool),
     /// This process is not the leader and has done nothing; names the leader, if known.
     NotLeader(Option<id::Process>),
     /// The request may or may not have been carried out.
--- a/crates/celerycove-gateway/src/replica.rs
+++ b/crates/celerycove-gateway/src/replica.rs
@@ -28,6 +28,8 @@
 
 /// How often the replica checks its timers; a fraction of its heartbeat interval.
 const TICK_INTERVAL: Duration = Duration::from_millis(40);
+/// How often a caller that waits for the confirmation of the leader checks for it.
+const CONFIRMATION_INTERVAL: Duration = Duration::from_millis(15);
 /// The most messages and proposals that wait for the replica.
 const INPUT_QUEUE_LEN: usize = 4_096;
 /// The most commands that are proposed together.
@@ -84,6 +86,8 @@
     pub applied: u64,
     /// The members of the log.
     pub members: Members,
+    /// Whether the change that led to these members is known to be committed.
+    pub has_committed_members: bool,
     /// On the leader: the members that have a vote.
     pub voters: Members,
     /// On the leader: the latest time at which a quorum confirmed that it leads, so that its state
@@ -158,6 +162,32 @@
         self.status.load_full()
     }
 
+    /// Waits until a majority confirms that this replica leads, by a round of heartbeats that begins
+    /// after the call, and returns its status then: the newest that a leader can have.
+    ///
+    /// # Errors
+    ///
+    /// Returns the leader, if known, if this replica doesn't lead or isn't confirmed in time.
+    pub async fn confirm_leadership(
+        &self,
+        timeout: Duration,
+    ) -> Result<Arc<Status>, Option<id::Process>> {
+        let began = clock::now();
+        loop {
+            let status = self.status();
+            if !status.is_leader {
+                return Err(status.leader.clone());
+            }
+            if status.confirmed_at.is_some_and(|at| at >= began) {
+                return Ok(status);
+            }
+            if clock::now().saturating_sub(began) >= timeout {
+                return Err(None);
+            }
+            tokio::time::sleep(CONFIRMATION_INTERVAL).await;
+        }
+    }
+
     /// Queues a message from another member, or drops it if there is no room in the queue.
     pub fn receive(&self, from: &id::Process, message: Box<Message>) {
         let bytes = payload_bytes(&message);
@@ -398,6 +428,7 @@
             term: self.node.term(),
             applied: self.node.applied_index(),
             members,
+            has_committed_members: self.node.has_committed_members(),
             voters: self.node.voters(),
             confirmed_at: time_of(self.node.staleness(now)),
             heard_at: time_of(self.node.time_since_contact(now)),
--- a/crates/celerycove-gateway/src/store.rs
+++ b/crates/celerycove-gateway/src/store.rs
@@ -31,6 +31,9 @@
 /// How long the leader may take to reply to a request that this store passes on; shorter than an
 /// entry waits for a store.
 const RELAY_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long a majority may take to confirm the leader; shorter than a control instance waits for a
+/// store.
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(400);
 /// How often the store opens its log or, on the leader, checks the members of the log.
 const ROUND_INTERVAL: Duration = Duration::from_millis(400);
 /// A new leader changes no members for this long, until it has heard from the other stores.
@@ -167,10 +170,7 @@
         if !candidates.contains_key(&me) {
             return;
         }
-        let options = membership::Options {
-            target: self.setup.target_members(),
-            silence_timeout: self.setup.bounds.replacement / 2,
-        };
+        let options = self.membership_options();
         if let Some(members) =
             membership::plan(&me, &status.members, &status.voters, &candidates, options)
         {
@@ -191,13 +191,34 @@
             RpcRequest::Turns(_) if !status.is_leader => Reply::NotLeader(status.leader.clone()),
             RpcRequest::Turns(commands) => commit(replica, commands).await,
             RpcRequest::Relay(request) => self.relay(status.leader.as_ref(), *request).await,
-            RpcRequest::IsMember(store) => {
-                Reply::Member(status.members.contains(&store), status.members.len())
-            }
+            RpcRequest::IsDispensable(store) => self.is_dispensable(replica, &store).await,
             _ => Reply::NotLeader(None),
         }
     }
 
+    /// Checks whether a store may be taken away, if this process leads the log and a majority
+    /// confirms that after the call began.
+    async fn is_dispensable(&self, replica: &Replica, store: &id::Process) -> Reply {
+        let status = match replica.confirm_leadership(CONFIRM_TIMEOUT).await {
+            Ok(status) => status,
+            Err(leader) => return Reply::NotLeader(leader),
+        };
+        let options = self.membership_options();
+        let dispensable = status.has_committed_members
+            && membership::is_dispensable(store, &status.members, &status.voters, options);
+        log::info!(target: "place", store:% = store, dispensable, members:? = status.members,
+            voters:? = status.voters, committed = status.has_committed_members, term = status.term;
+            "checked whether a store may be taken away");
+        Reply::Dispensable(dispensable)
+    }
+
+    fn membership_options(&self) -> membership::Options {
+        membership::Options {
+            target: self.setup.target_members(),
+            silence_timeout: self.setup.bounds.replacement / 2,
+        }
+    }
+
     /// Passes a request on to the leader for an entry that can't reach it.
     async fn relay(&self, leader: Option<&id::Process>, request: RpcRequest) -> Reply {
         let Some(leader) = leader.filter(|leader| **leader != self.setup.process()) else {
--- a/crates/celerycove-gateway/tests/callers/dialect.rs
+++ b/crates/celerycove-gateway/tests/callers/dialect.rs
@@ -73,6 +73,17 @@
             ("PUT", "/config") => Some(Operation::Configure),
             ("GET", "/config") => Some(Operation::Read),
             ("PUT", path) => Some(Operation::Beat(path.strip_prefix("/beat/")?.into())),
+            ("POST", path) => Some(match path.strip_prefix("/retire/") {
+                Some(instance) => Operation::Retire(instance.into()),
+                None => Operation::Evacuate(path.strip_prefix("/evacuations/")?.into()),
+            }),
+            ("DELETE", path) => Some(match path.strip_prefix("/beat/") {
+                Some(backend) => Operation::Leave(backend.into()),
+                None => Operation::Restore(path.strip_prefix("/evacuations/")?.into()),
+            }),
+            ("GET", path) => Some(Operation::RetireState(
+                path.strip_prefix("/retire/")?.into(),
+            )),
             _ => None,
         }
     }
