fix(gateway): open a log again after its storage failed

Cause: a failed write ended the task of the replica while its process lived on; nothing opened the log again until a restart by hand. The second such member left the log without a majority.

`Storage::recover` writes and syncs once more what a failed write left behind before it is trusted, the smallest file first. Ruled out: ending the process (an end by itself, and of two roles on one instance only one has the disk), and going on with the node in memory (a step that failed half-way leaves it undefined).

--- a/crates/celerycove-control/src/node.rs
+++ b/crates/celerycove-control/src/node.rs
@@ -1,6 +1,6 @@
 //! One instance of the control log.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use celerycove_config::{Feed, Outcome, Proposal};
 use celerycove_types::{Timestamp, id};
@@ -112,7 +112,7 @@
         answer: Answer,
     },
     /// Stops the instance: its storage failed, or a snapshot can't be encoded or decoded. It
-    /// performs no other action and must acknowledge nothing from now on.
+    /// performs no other action and must acknowledge nothing from now on. [`Node::recover`] opens it anew.
     Halt(Error),
 }
 
@@ -133,18 +133,41 @@
     pub fn open(
         own_id: id::Process,
         bootstrap: Option<Members>,
-        storage: Box<dyn Storage>,
+        mut storage: Box<dyn Storage>,
         options: Options,
         seed: u64,
         now: Timestamp,
     ) -> Result<Self, Error> {
-        let raft = Raft::open(own_id, bootstrap, storage, options, seed, now)?;
+        let persisted = storage.load()?;
+        let raft = Raft::open(own_id, bootstrap, storage, persisted, options, seed, now)?;
+        Ok(Self::new(raft))
+    }
+
+    /// Opens an instance anew after its storage failed. It is as after a restart of its process: what it
+    /// acknowledged is in its storage, and all else it learns from the other instances.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the storage can't be read or still can't be written.
+    pub fn recover(
+        own_id: id::Process,
+        mut storage: Box<dyn Storage>,
+        options: Options,
+        seed: u64,
+        now: Timestamp,
+    ) -> Result<Self, Error> {
+        let persisted = storage.recover()?;
+        let raft = Raft::open(own_id, None, storage, persisted, options, seed, now)?;
+        Ok(Self::new(raft))
+    }
+
+    fn new(raft: Raft) -> Self {
         let mut machine = raft.state_machine();
         machine.init_with_context(&mut Vec::new());
-        Ok(Self {
+        Self {
             machine,
             halted: false,
-        })
+        }
     }
 
     /// Handles one event and returns the resulting actions; none after [`Action::Halt`].
@@ -280,6 +303,17 @@
         voters.map(|(peer, _)| peer.clone()).chain(own).collect()
     }
 
+    /// On a leader, when each of the other members last replied to it. A member whose storage failed
+    /// does not reply, though its process runs.
+    #[must_use]
+    pub fn replied_at(&self) -> BTreeMap<id::Process, Timestamp> {
+        let peers = self.machine.progress.iter();
+        let peers = peers.filter(|_| self.is_leader());
+        peers
+            .map(|(peer, progress)| (peer.clone(), progress.replied_at))
+            .collect()
+    }
+
     /// On a leader that has applied all committed entries, the time since a quorum last confirmed
     /// it; its state is at most this far behind. `None` otherwise.
     #[must_use]
--- a/crates/celerycove-control/src/raft.rs
+++ b/crates/celerycove-control/src/raft.rs
@@ -12,7 +12,7 @@
     message::{Body, Message, Round},
     node::{Action, Answer, Options, Token},
     state::{Effect, State},
-    storage::{Ballot, Error, Snapshot, Storage},
+    storage::{Ballot, Error, PersistentState, Snapshot, Storage},
     transfer::{Incoming, Outgoing, Position},
 };
 
@@ -27,6 +27,8 @@
     pub(crate) next_index: Index,
     /// The latest heartbeat round that the follower acknowledged.
     pub(crate) acked_round: Round,
+    /// When the follower last replied, or when this instance began to track it.
+    pub(crate) replied_at: Timestamp,
     pub(crate) last_sent_at: Timestamp,
     /// When a probe (entries from the presumed match point, or a snapshot chunk) was last sent.
     /// Until the probe is answered or known to be lost, no other entries are sent.
@@ -49,7 +51,8 @@
     }
 
     /// Records the round that the follower acknowledged and whether it may vote.
-    pub(crate) fn record_reply(&mut self, round: Round, voter: bool) {
+    pub(crate) fn record_reply(&mut self, now: Timestamp, round: Round, voter: bool) {
+        self.replied_at = now;
         self.acked_round = self.acked_round.max(round);
         self.voter = voter;
     }
@@ -113,11 +116,11 @@
         own_id: id::Process,
         bootstrap: Option<Members>,
         mut storage: Box<dyn Storage>,
+        persisted: PersistentState,
         options: Options,
         seed: u64,
         now: Timestamp,
     ) -> Result<Self, Error> {
-        let persisted = storage.load()?;
         let storage_is_empty = persisted.ballot.is_none();
         let ballot = persisted.ballot.unwrap_or(Ballot {
             voter: bootstrap.is_some(),
--- a/crates/celerycove-control/src/replicate.rs
+++ b/crates/celerycove-control/src/replicate.rs
@@ -131,12 +131,13 @@
         let peers = self.peers();
         self.progress.retain(|peer, _| peers.contains(peer));
         for peer in peers {
-            let last_sent_at = self.now;
+            let (last_sent_at, replied_at) = (self.now, self.now);
             self.progress.entry(peer).or_insert(Progress {
                 match_index: 0,
                 voter: false,
                 next_index,
                 acked_round: 0,
+                replied_at,
                 last_sent_at,
                 probe_sent_at: None,
                 probe_round: 0,
@@ -252,7 +253,7 @@
         let Some(progress) = progress.filter(|peer| round >= peer.min_valid_round) else {
             return;
         };
-        progress.record_reply(round, voter);
+        progress.record_reply(self.now, round, voter);
         match matched {
             Some(matched) => {
                 progress.match_index = progress.match_index.max(matched);
--- a/crates/celerycove-control/src/storage.rs
+++ b/crates/celerycove-control/src/storage.rs
@@ -47,7 +47,8 @@
     pub entries: Vec<Entry>,
 }
 
-/// A failed read or write, or a snapshot that can't be encoded or decoded; the instance halts.
+/// A failed read or write, or a snapshot that can't be encoded or decoded; the instance halts until
+/// its storage is recovered.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 #[error("could not {operation} the control log: {cause}")]
 pub struct Error {
@@ -78,6 +79,26 @@
     /// incomplete last record.
     fn load(&mut self) -> Result<PersistentState, Error>;
 
+    /// Reads what was saved, after a write has failed, and makes it durable: what a failed write left
+    /// behind can be read, though it may not survive a loss of power.
+    ///
+    /// Unless a storage overrides this method, everything is saved anew.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the files can't be read, or if they still can't be written.
+    fn recover(&mut self) -> Result<PersistentState, Error> {
+        let persisted = self.load()?;
+        if let Some(ballot) = &persisted.ballot {
+            self.save_ballot(ballot)?;
+        }
+        match &persisted.snapshot {
+            Some(snapshot) => self.save_snapshot(snapshot, &persisted.entries)?,
+            None => self.append(&persisted.entries)?,
+        }
+        Ok(persisted)
+    }
+
     /// Saves the term and the vote.
     ///
     /// # Errors
--- a/crates/celerycove-control/src/transfer.rs
+++ b/crates/celerycove-control/src/transfer.rs
@@ -127,7 +127,7 @@
         let Some(progress) = progress.filter(|peer| round >= peer.min_valid_round) else {
             return;
         };
-        progress.record_reply(round, voter);
+        progress.record_reply(self.now, round, voter);
         if let Some(position) = &mut progress.snapshot_position
             && position.index == index
             && position.offset != held
--- a/crates/celerycove-disk/src/control.rs
+++ b/crates/celerycove-disk/src/control.rs
@@ -60,6 +60,10 @@
         directory.join(BALLOT_FILE).exists()
     }
 
+    fn ballot_path(&self) -> PathBuf {
+        self.directory.join(BALLOT_FILE)
+    }
+
     fn log_path(&self) -> PathBuf {
         self.directory.join("log")
     }
@@ -81,10 +85,30 @@
 }
 
 impl Storage for Store {
+    fn recover(&mut self) -> Result<PersistentState, Error> {
+        // What a failed write left of a new file takes up room.
+        for file in [self.ballot_path(), self.snapshot_path(), self.log_path()] {
+            records::discard_successor(&file).map_err(storage_error("recover"))?;
+        }
+        // The smallest file comes first: while it can't be written, the others aren't read. Its sync
+        // makes renamed files of the directory durable, which includes the snapshot; a snapshot's
+        // content is synced before it is renamed.
+        if let Some(ballot) =
+            value::load::<Ballot>(&self.ballot_path()).map_err(storage_error("recover"))?
+        {
+            self.save_ballot(&ballot)?;
+        }
+        let persisted = self.load()?;
+        let payloads = self.encode(&persisted.entries)?;
+        let records =
+            records::replace(&self.log_path(), &payloads).map_err(storage_error("recover"))?;
+        self.log = Some(records);
+        Ok(persisted)
+    }
+
     fn load(&mut self) -> Result<PersistentState, Error> {
         transfer::discard(&self.received_path())?;
-        let ballot = value::load::<Ballot>(&self.directory.join(BALLOT_FILE))
-            .map_err(storage_error("load"))?;
+        let ballot = value::load::<Ballot>(&self.ballot_path()).map_err(storage_error("load"))?;
         let snapshot =
             value::load::<Snapshot>(&self.snapshot_path()).map_err(storage_error("load"))?;
         let snapshot_index = snapshot.as_ref().map_or(0, |snapshot| snapshot.index);
@@ -118,8 +142,7 @@
     }
 
     fn save_ballot(&mut self, ballot: &Ballot) -> Result<(), Error> {
-        value::save(&self.directory.join(BALLOT_FILE), ballot)
-            .map_err(storage_error("save the ballot of"))
+        value::save(&self.ballot_path(), ballot).map_err(storage_error("save the ballot of"))
     }
 
     fn append(&mut self, entries: &[Entry]) -> Result<(), Error> {
--- a/crates/celerycove-disk/src/records.rs
+++ b/crates/celerycove-disk/src/records.rs
@@ -132,6 +132,26 @@
     }
 }
 
+/// The file that is written to replace the one at `path`.
+fn successor_of(path: &Path) -> PathBuf {
+    path.with_extension("new")
+}
+
+/// Removes what a failed replacement of the file at `path` has left.
+///
+/// # Errors
+///
+/// Returns an error if there is such a file and it can't be removed.
+pub fn discard_successor(path: &Path) -> Result<(), Error> {
+    let temporary = successor_of(path);
+    match std::fs::remove_file(&temporary) {
+        Err(error) if error.kind() != io::ErrorKind::NotFound => {
+            Err(io_error("remove", &temporary, error))
+        }
+        _ => Ok(()),
+    }
+}
+
 /// Atomically replaces the file at `path`: writes and syncs a temporary file beside it, then
 /// renames it.
 ///
@@ -139,7 +159,7 @@
 ///
 /// Returns an error unless the new file is in place and synced.
 pub fn replace<P: AsRef<[u8]>>(path: &Path, payloads: &[P]) -> Result<Records, Error> {
-    let temporary = path.with_extension("new");
+    let temporary = successor_of(path);
     let mut buffer = Vec::new();
     for payload in payloads {
         encode(payload.as_ref(), &mut buffer);
@@ -168,7 +188,7 @@
     path: &Path,
     write: impl FnOnce(&mut dyn Write) -> Result<(), E>,
 ) -> Result<(), E> {
-    let temporary = path.with_extension("new");
+    let temporary = successor_of(path);
     let error_in = |operation| move |source| io_error(operation, path, source);
     let mut file = File::create(&temporary).map_err(error_in("create a successor of"))?;
     file.write_all(&[0; HEADER_BYTES])
--- a/crates/celerycove-disk/tests/disk.rs
+++ b/crates/celerycove-disk/tests/disk.rs
@@ -113,6 +113,39 @@
     assert_eq!(durable.entries, [entry(3, 2)]);
 }
 
+/// Guards against a log that can't be used any more after a write failed half-way.
+#[test]
+fn the_control_log_recovers_after_a_failed_write() {
+    let directory = TempDir::new("recovers");
+    let path = directory.path();
+    let mut store = Store::new(path.to_owned()).expect("a directory");
+    store.load().expect("no files");
+    let ballot = Ballot {
+        term: 3,
+        vote: Some("a".into()),
+        voter: true,
+    };
+    store.save_ballot(&ballot).expect("synced");
+    store.append(&[entry(1, 1), entry(2, 1)]).expect("synced");
+    // What a full disk leaves behind: part of a record, and part of a file's successor.
+    let log = path.join("log");
+    let mut bytes = std::fs::read(&log).expect("bytes");
+    bytes.extend_from_within(..7);
+    std::fs::write(&log, &bytes).expect("a torn file");
+    std::fs::write(path.join("snapshot.new"), vec![0; 4_096]).expect("a file");
+
+    std::fs::create_dir(path.join("ballot.new")).expect("a folder");
+    store.recover().expect_err("no file can be written");
+    std::fs::remove_dir(path.join("ballot.new")).expect("a folder");
+    let recovered = store.recover().expect("recovered");
+    assert_eq!(recovered.ballot, Some(ballot));
+    assert_eq!(recovered.entries, [entry(1, 1), entry(2, 1)]);
+    assert!(!path.join("snapshot.new").exists(), "it took up room");
+    store.append(&[entry(3, 3)]).expect("synced");
+    let reloaded = Store::new(path.to_owned()).expect("a directory").load();
+    assert_eq!(reloaded.expect("intact").entries.len(), 3);
+}
+
 #[test]
 fn loading_a_control_log_with_a_gap_fails() {
     let directory = TempDir::new("gap");
--- a/crates/celerycove-gateway/src/control.rs
+++ b/crates/celerycove-gateway/src/control.rs
@@ -174,12 +174,11 @@
         let me = self.setup.process();
         log::info!(target: "log", founders:? = initial_members, data:? = data;
             "opening the control log");
-        let storage = Box::new(Store::new(data)?);
         let control = self.clone();
         let replica = Replica::open(
             me.clone(),
             initial_members.filter(|members| members.contains(&me)),
-            storage,
+            Box::new(move || Ok(Box::new(Store::new(data.clone())?))),
             self.connections.clone(),
             options(SNAPSHOT_AFTER_ENTRIES),
             Box::new(move |state, index| control.apply(state, index)),
--- a/crates/celerycove-gateway/src/store.rs
+++ b/crates/celerycove-gateway/src/store.rs
@@ -103,7 +103,7 @@
         let replica = Replica::open(
             me,
             initial_members,
-            Box::new(Disk::new(data)?),
+            Box::new(move || Ok(Box::new(Disk::new(data.clone())?))),
             self.connections.clone(),
             options(SNAPSHOT_AFTER_ENTRIES),
             Box::new(|_, _| {}),
--- a/crates/celerycove-gateway/tests/stores.rs
+++ b/crates/celerycove-gateway/tests/stores.rs
@@ -57,3 +57,32 @@
     });
     assert!(completed, "the log is moved once the store is back");
 }
+
+/// Guards against a replica that stays away for good after one failed write: with the next lost
+/// store the log has no majority, though most disks work.
+#[test]
+fn a_store_whose_disk_failed_takes_part_again_once_the_disk_works() {
+    let mut deployment = Deployment::start(["a", "b", "c"]);
+    wait(Duration::from_secs(5));
+    let leader = deployment.leading_store();
+    let others: Vec<usize> = (0..3).filter(|number| *number != leader).collect();
+    // Both followers fail to save their votes in the election that follows.
+    for number in &others {
+        deployment.block_disk(*number);
+    }
+    deployment.kill_store(leader);
+    wait(Duration::from_secs(3));
+    for number in &others {
+        deployment.unblock_disk(*number);
+    }
+    // A retirement needs as many stores as the log has members besides.
+    deployment.start_store(3, "a");
+    wait(Duration::from_secs(1));
+    let (status, _) = deployment.retire(leader);
+    assert_eq!(status, 200);
+    let answered = (0..100).any(|_| {
+        wait(Duration::from_millis(100));
+        deployment.retirement(leader).0 == 200
+    });
+    assert!(answered, "two of three stores run and lead again");
+}
--- a/crates/celerycove-gateway/tests/stores/deployment.rs
+++ b/crates/celerycove-gateway/tests/stores/deployment.rs
@@ -104,6 +104,38 @@
         runtime.shutdown_timeout(Duration::from_secs(5));
     }
 
+    /// The store that most stores voted for.
+    pub fn leading_store(&self) -> usize {
+        let ballots: Vec<Vec<u8>> = (0..3)
+            .map(|number| std::fs::read(self.data_dir(Role::Store, number).join("ballot")))
+            .map(|ballot| ballot.expect("a ballot"))
+            .collect();
+        let votes = |number: usize| {
+            let name = self.setup(Role::Store, number, "a", false).process();
+            let names_it =
+                |ballot: &&Vec<u8>| ballot.windows(name.len()).any(|at| at == name.as_bytes());
+            ballots.iter().filter(names_it).count()
+        };
+        (0..3).max_by_key(|number| votes(*number)).expect("a store")
+    }
+
+    /// Makes a store's disk refuse new votes: a folder stands where the file would be written.
+    pub fn block_disk(&self, number: usize) {
+        std::fs::create_dir(self.blocking_folder(number)).expect("a folder");
+    }
+
+    pub fn unblock_disk(&self, number: usize) {
+        std::fs::remove_dir(self.blocking_folder(number)).expect("a folder");
+    }
+
+    fn blocking_folder(&self, number: usize) -> PathBuf {
+        self.data_dir(Role::Store, number).join("ballot.new")
+    }
+
+    fn data_dir(&self, role: Role, number: usize) -> PathBuf {
+        self.folder.join(format!("{}-{number}", role.name()))
+    }
+
     pub fn retire(&self, number: usize) -> (u16, String) {
         self.call("POST", &format!("/retire/store-{number}"))
     }
@@ -116,7 +148,7 @@
         let host = u8::try_from(number).expect("few stores") + 1;
         let ip = IpAddr::V4(Ipv4Addr::new(127, 0, 0, host));
         let name = format!("{}-{number}", role.name());
-        let data_dir = self.folder.join(&name);
+        let data_dir = self.data_dir(role, number);
         std::fs::create_dir_all(&data_dir).expect("a folder");
         Setup {
             role,
