fix(gateway): count a member as silent when its replica is

Cause: `membership::plan` judged members by their processes' connections. A process whose storage failed connects and sends updates, so that its replica held its place for as long as the disk was broken, and a further loss left no majority.

Change: a leader knows when each member last replied to it; a member is as silent as the more silent of its replica and its process.

Result: maintenance_tests.rs, a_member_whose_replica_is_silent_counts_as_silent (new; the function had no such input before).

--- a/crates/celerycove-gateway/src/control/maintenance.rs
+++ b/crates/celerycove-gateway/src/control/maintenance.rs
@@ -18,6 +18,7 @@
     clock,
     link::lock,
     message::{Frame, Peer, PeerStatus, RelayedHeartbeat, Reply},
+    replica::Status,
     setup::Role,
 };
 
@@ -218,7 +219,7 @@
             silence_timeout: self.setup.bounds.replacement / 2,
         };
         let peers = self.fleet_state.peers(Role::Control);
-        let candidates = member_candidates(peers, &BTreeSet::new());
+        let candidates = member_candidates(clock::now(), peers, &status, &BTreeSet::new());
         let me = self.setup.process();
         if let Some(members) =
             membership::plan(&me, &status.members, &status.voters, &candidates, options)
@@ -265,11 +266,19 @@
     admitted.chain(removed).collect()
 }
 
-/// Returns the processes that can be members of a replicated log: those with a disk.
+/// Returns the processes that can be members of a replicated log: those with a disk. A member is as
+/// silent as its replica, by the leader's `status`: its storage may have failed while its process
+/// runs.
 pub(crate) fn member_candidates(
+    now: Timestamp,
     peers: Vec<PeerStatus>,
+    status: &Status,
     retiring: &BTreeSet<id::Process>,
 ) -> BTreeMap<id::Process, Candidate> {
+    let replica_silence = |process: &id::Process| {
+        let replied_at = status.replied_at.get(process).copied();
+        replied_at.map_or(Duration::ZERO, |at| now.saturating_sub(at))
+    };
     peers
         .into_iter()
         .filter(|status| status.peer.has_disk)
@@ -277,7 +286,7 @@
             let candidate = Candidate {
                 retiring: retiring.contains(&status.peer.process),
                 data_centre: status.peer.data_centre,
-                silent_for: status.silent,
+                silent_for: status.silent.max(replica_silence(&status.peer.process)),
             };
             (status.peer.process, candidate)
         })
--- a/crates/celerycove-gateway/src/control/maintenance_tests.rs
+++ b/crates/celerycove-gateway/src/control/maintenance_tests.rs
@@ -68,3 +68,26 @@
     let commands = entry_commands(&committed.collect(), &known);
     assert_eq!(commands, [Command::Dismiss(known[2].peer.process.clone())]);
 }
+
+/// Guards against a member that holds its place though its storage failed: its process still connects,
+/// so that only its replica is silent.
+#[test]
+fn a_member_whose_replica_is_silent_counts_as_silent() {
+    let mut known = [entry(1, Duration::ZERO), entry(2, Duration::ZERO)];
+    for status in &mut known {
+        status.peer.has_disk = true;
+    }
+    let names = known.clone().map(|status| status.peer.process);
+    let now = Timestamp::from_secs(9);
+    let status = Status {
+        replied_at: names
+            .iter()
+            .cloned()
+            .zip([now, Timestamp::from_secs(5)])
+            .collect(),
+        ..Status::default()
+    };
+    let candidates = member_candidates(now, known.to_vec(), &status, &BTreeSet::new());
+    let silences = names.map(|name| candidates[&name].silent_for);
+    assert_eq!(silences, [Duration::ZERO, Duration::from_secs(4)]);
+}
--- a/crates/celerycove-gateway/src/store.rs
+++ b/crates/celerycove-gateway/src/store.rs
@@ -163,7 +163,9 @@
             stores.cloned().collect::<BTreeSet<_>>()
         });
         let candidates = member_candidates(
+            clock::now(),
             self.fleet_state.peers(Role::Store),
+            &status,
             &retiring.unwrap_or_default(),
         );
         let me = self.setup.process();
