fix(daemon): open the control log again after its storage failed

Cause: the driver of the control log ended its thread after a failed write, or, if that happened while it processed queued inputs, ignored the failure and went on with a halted node. The process lived on in both cases, and the second such instance left the log without a majority.

--- a/crates/celerycove-daemon/src/control.rs
+++ b/crates/celerycove-daemon/src/control.rs
@@ -4,11 +4,12 @@
 
 use std::{
     collections::BTreeMap,
+    path::PathBuf,
     sync::{
         Arc,
         mpsc::{Receiver, RecvTimeoutError, Sender, channel},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use arc_swap::ArcSwap;
@@ -16,6 +17,7 @@
     Action, Answer, Command, Event, Message, Node, Options,
     log::{Members, Term},
     node::{Proposed, Token},
+    storage,
 };
 use celerycove_disk::Store;
 use celerycove_types::id;
@@ -32,13 +34,15 @@
 const TICK: Duration = Duration::from_millis(20);
 /// Maximum number of queued inputs that are processed together, after the first one.
 const MAX_BATCH: usize = 256;
+/// How often an instance whose storage failed tries to recover it.
+const RECOVERY_INTERVAL: Duration = Duration::from_millis(500);
 
 /// An error that prevents the instance from starting.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
     /// The files of the log can't be read or are damaged.
     #[error(transparent)]
-    Storage(#[from] celerycove_control::storage::Error),
+    Storage(#[from] storage::Error),
     /// The thread can't be spawned.
     #[error("could not spawn the control log thread")]
     Thread(#[source] std::io::Error),
@@ -61,7 +65,7 @@
     pub term: Term,
     /// The voting members of the log.
     pub members: Members,
-    /// Whether the instance has stopped because its storage failed.
+    /// Whether the instance takes no part in the log, since its storage failed and is not recovered.
     pub halted: bool,
 }
 
@@ -88,7 +92,8 @@
     ) -> Result<Arc<Self>, Error> {
         let settings = &process.settings;
         let data = settings.process.data_dir.clone().unwrap_or_default();
-        let store = Store::new(data.join("control"))?;
+        let directory = data.join("control");
+        let store = Store::new(directory.clone())?;
         let members: Members = settings
             .process
             .control
@@ -120,6 +125,8 @@
         });
         let driver = Driver {
             node,
+            directory,
+            options,
             maintenance: Maintenance::new(process.clone(), state.clone()),
             process: process.clone(),
             state: state.clone(),
@@ -138,8 +145,7 @@
 
     /// Queues messages from another instance.
     pub fn deliver(&self, from: id::Process, messages: Vec<Message>) {
-        // The thread ends only with the process or after a storage failure; the messages are lost
-        // then.
+        // The thread ends only with the process; the messages are lost then.
         let _ = self.inputs.send(Input::Messages(from, messages));
     }
 
@@ -161,6 +167,9 @@
 /// Owns the instance on its thread and carries out its actions.
 struct Driver {
     node: Node,
+    /// Where the files of the instance are.
+    directory: PathBuf,
+    options: Options,
     maintenance: Maintenance,
     process: Arc<Process>,
     state: Arc<SharedState>,
@@ -176,20 +185,68 @@
         let runtime = self.runtime.clone();
         let _entered = runtime.enter();
         loop {
-            match inputs.recv_timeout(TICK) {
+            let processed = match inputs.recv_timeout(TICK) {
                 Ok(input) => self.process_inputs(input, inputs),
-                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Timeout) => Ok(()),
                 Err(RecvTimeoutError::Disconnected) => return,
-            }
-            if !self.step(Event::Tick) {
+            };
+            let stepped = processed.and_then(|()| self.step(Event::Tick));
+            let maintained = stepped.and_then(|()| self.publish_and_maintain());
+            if let Err(error) = maintained
+                && !self.recover(&error, inputs)
+            {
                 return;
             }
-            self.publish_and_maintain();
+        }
+    }
+
+    /// Opens the instance anew after its storage failed, as soon as that succeeds. Until then it rejects
+    /// proposals and drops messages. Returns false if the process ends before.
+    fn recover(&mut self, error: &storage::Error, inputs: &Receiver<Input>) -> bool {
+        log::error!(target: "control", error:% = error;
+            "the storage of the control log failed; the instance takes no part until it is recovered");
+        self.pending.clear();
+        self.control.summary.rcu(|summary| Summary {
+            leads: false,
+            halted: true,
+            ..Summary::clone(summary)
+        });
+        loop {
+            let retry_at = Instant::now() + RECOVERY_INTERVAL;
+            while let Some(left) = retry_at.checked_duration_since(Instant::now()) {
+                match inputs.recv_timeout(left) {
+                    Ok(Input::Propose(_, sender)) => {
+                        // The proposer may have stopped waiting.
+                        let _ = sender.send(Answer::NotLeader(None));
+                    }
+                    Ok(Input::Messages(..)) | Err(RecvTimeoutError::Timeout) => {}
+                    Err(RecvTimeoutError::Disconnected) => return false,
+                }
+            }
+            let opened = Store::new(self.directory.clone()).and_then(|store| {
+                let (name, now) = (self.process.name.clone(), self.process.now());
+                let seed = self.process.incarnation;
+                Node::recover(name, Box::new(store), self.options, seed, now)
+            });
+            match opened {
+                Ok(node) => {
+                    self.node = node;
+                    log::info!(target: "control", term = self.node.term();
+                        "the storage of the control log is recovered; the instance takes part again");
+                    return true;
+                }
+                Err(error) => log::warn!(target: "control", error:% = error;
+                    "could not recover the storage of the control log"),
+            }
         }
     }
 
     /// Processes an input and those queued behind it, so that their commands share one disk sync.
-    fn process_inputs(&mut self, first: Input, inputs: &Receiver<Input>) {
+    fn process_inputs(
+        &mut self,
+        first: Input,
+        inputs: &Receiver<Input>,
+    ) -> Result<(), storage::Error> {
         let mut proposals = Vec::new();
         let queued = std::iter::from_fn(|| inputs.try_recv().ok());
         for input in std::iter::once(first).chain(queued.take(MAX_BATCH)) {
@@ -197,7 +254,7 @@
                 Input::Messages(from, messages) => {
                     for message in messages {
                         let from = from.clone();
-                        self.step(Event::Message { from, message });
+                        self.step(Event::Message { from, message })?;
                     }
                 }
                 Input::Propose(command, sender) => {
@@ -208,15 +265,15 @@
                 }
             }
         }
-        if !proposals.is_empty() {
-            self.step(Event::Propose(proposals));
+        if proposals.is_empty() {
+            return Ok(());
         }
+        self.step(Event::Propose(proposals))
     }
 
-    /// Passes one event to the instance and carries out the resulting actions.
-    ///
-    /// Returns false if the instance has stopped because its storage failed.
-    fn step(&mut self, event: Event) -> bool {
+    /// Passes one event to the instance and carries out the resulting actions. Returns an error if its
+    /// storage failed.
+    fn step(&mut self, event: Event) -> Result<(), storage::Error> {
         for action in self.node.step(self.process.now(), event) {
             match action {
                 Action::Send { to, message } => {
@@ -228,24 +285,15 @@
                         let _ = sender.send(answer);
                     }
                 }
-                Action::Halt(error) => {
-                    log::error!(target: "control", error:% = error;
-                        "storage failed; the control log instance stops");
-                    self.control.summary.rcu(|summary| Summary {
-                        leads: false,
-                        halted: true,
-                        ..Summary::clone(summary)
-                    });
-                    return false;
-                }
+                Action::Halt(error) => return Err(error),
             }
         }
         debug_assert_eq!(self.node.check(), Ok(()));
-        true
+        Ok(())
     }
 
     /// Publishes status and state to the rest of the process, then runs the leader's maintenance.
-    fn publish_and_maintain(&mut self) {
+    fn publish_and_maintain(&mut self) -> Result<(), storage::Error> {
         let now = self.process.now();
         let summary = Summary {
             leads: self.node.is_leader(),
@@ -262,7 +310,8 @@
         let changed = previous.leads != summary.leads
             || previous.leader != summary.leader
             || previous.term != summary.term
-            || previous.members != summary.members;
+            || previous.members != summary.members
+            || previous.halted;
         drop(previous);
         if changed {
             self.control.summary.store(Arc::new(summary));
@@ -274,11 +323,12 @@
                 .mirror(self.node.feed(), &state.placement, confirmed);
         }
         let placement_changes = self.maintenance.run(now, &self.node);
-        if !placement_changes.is_empty() {
-            self.last_token += 1;
-            let token = self.last_token;
-            let command = Command::Place(placement_changes);
-            self.step(Event::Propose(vec![Proposed { token, command }]));
+        if placement_changes.is_empty() {
+            return Ok(());
         }
+        self.last_token += 1;
+        let token = self.last_token;
+        let command = Command::Place(placement_changes);
+        self.step(Event::Propose(vec![Proposed { token, command }]))
     }
 }
--- a/crates/celerycove-daemon/tests/processes/deployment.rs
+++ b/crates/celerycove-daemon/tests/processes/deployment.rs
@@ -272,6 +272,21 @@
         }
     }
 
+    /// Makes the disk of a control instance refuse new votes: a folder stands where the file would be
+    /// written.
+    pub fn block_votes(&self, name: &str) {
+        std::fs::create_dir(self.blocking_folder(name)).expect("a folder");
+    }
+
+    /// Makes the disk accept votes again.
+    pub fn unblock_votes(&self, name: &str) {
+        std::fs::remove_dir(self.blocking_folder(name)).expect("a folder");
+    }
+
+    fn blocking_folder(&self, name: &str) -> PathBuf {
+        self.folder.join(name).join("control").join("ballot.new")
+    }
+
     /// Returns the names of all processes.
     pub fn names(&self) -> Vec<String> {
         self.processes.keys().cloned().collect()
--- a/crates/celerycove-daemon/tests/processes/operators.rs
+++ b/crates/celerycove-daemon/tests/processes/operators.rs
@@ -159,3 +159,33 @@
         tokio::time::sleep(Duration::from_millis(100)).await;
     }
 }
+
+/// Guards against a control instance that stays away for good after one failed write.
+#[tokio::test(flavor = "multi_thread")]
+async fn control_instances_whose_disks_failed_take_part_again() {
+    let mut deployment = Deployment::start().await;
+    let status: operator::Status = deployment
+        .client()
+        .request::<(), _>(operator::STATUS, None, true)
+        .await
+        .expect("status");
+    let leader = status.leader.to_string();
+    let names = deployment.names();
+    let others = names
+        .iter()
+        .filter(|name| name.starts_with("control-") && **name != leader);
+    // The votes of the next election can't be saved.
+    for name in others.clone() {
+        deployment.block_votes(name);
+    }
+    deployment.kill(&leader);
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    for name in others {
+        deployment.unblock_votes(name);
+    }
+    let mut client = deployment.client();
+    client.options.request_id = Some("after the disks".to_owned());
+    let accepted = async { while client.propose(vec![set_rate("martin", 5.0)]).await.is_err() {} };
+    let accepted = tokio::time::timeout(TIMEOUT, accepted).await;
+    accepted.expect("two of three instances run");
+}
