fix(gateway): delayed orders don't undo later evacuations

Cause: orders to evacuate or to restore named no version, and a control instance that woke after a freeze carried out what it found in its sockets, though the sender had closed the connection seconds before and had had later orders committed by others.

Ruled out: a check of the connection alone, as an order can also be delayed between the instance and the leader, and the revision alone, as a woken instance may learn of the newest state before it reads the order.

Commands and states of earlier versions are still read.

--- a/crates/celerycove-fleet/src/change.rs
+++ b/crates/celerycove-fleet/src/change.rs
@@ -16,6 +16,7 @@
 use crate::{
     Config, Fleet,
     config::{Limits, Organisation, Route, Service},
+    state::Revision,
 };
 
 /// What changed from an earlier to a later state. A field is `None` if that part is unchanged.
@@ -23,6 +24,8 @@
 pub struct Change {
     config: Option<ConfigChange>,
     evacuated: Option<BTreeSet<id::DataCentre>>,
+    #[serde(default)]
+    revisions: Option<BTreeMap<id::DataCentre, Revision>>,
     entries: Option<BTreeMap<id::Process, id::DataCentre>>,
     founders: Option<BTreeSet<id::Process>>,
     retiring: Option<BTreeMap<Arc<str>, id::Process>>,
@@ -73,6 +76,7 @@
         Self {
             config: ConfigChange::between(&before.config, &after.config),
             evacuated: changed(&before.evacuated, &after.evacuated),
+            revisions: changed(&before.revisions, &after.revisions),
             entries: changed(&before.entries, &after.entries),
             founders: changed(&before.founders, &after.founders),
             retiring: changed(&before.retiring, &after.retiring),
@@ -90,6 +94,7 @@
         Fleet {
             config,
             evacuated: self.evacuated.as_ref().unwrap_or(&fleet.evacuated).clone(),
+            revisions: self.revisions.as_ref().unwrap_or(&fleet.revisions).clone(),
             entries: self.entries.as_ref().unwrap_or(&fleet.entries).clone(),
             founders: self.founders.as_ref().unwrap_or(&fleet.founders).clone(),
             retiring: self.retiring.as_ref().unwrap_or(&fleet.retiring).clone(),
--- a/crates/celerycove-fleet/src/state.rs
+++ b/crates/celerycove-fleet/src/state.rs
@@ -10,15 +10,29 @@
 
 use crate::config::Config;
 
+/// How often an evacuation of a data centre was started or reversed.
+pub type Revision = u64;
+
 /// A command in the replicated control log.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Command {
     /// Replaces the configuration if the version is higher.
     Configure(Arc<Config>),
-    /// Stops sending new requests to the backend servers of a data centre.
+    /// Stops sending new requests to the backend servers of a data centre. Only in logs of earlier
+    /// versions, like [`Restore`](Self::Restore).
     Evacuate(id::DataCentre),
     /// Reverses an evacuation.
     Restore(id::DataCentre),
+    /// Starts or reverses an evacuation, unless one was started or reversed since the order was
+    /// accepted: an order that was delayed on its way must not undo a later one.
+    SetEvacuated {
+        /// The data centre.
+        data_centre: id::DataCentre,
+        /// Whether its backend servers get no new requests from now on.
+        evacuated: bool,
+        /// The data centre's revision in the state that was the newest when the order was accepted.
+        revision: Revision,
+    },
     /// Adds an entry process to those that share the rate limits.
     Admit {
         /// The entry process.
@@ -46,6 +60,8 @@
     Changed,
     /// The state already was as requested, or the command was outdated.
     Unchanged,
+    /// The order was accepted before the state that it is about last changed, and had no effect.
+    Superseded,
 }
 
 /// The replicated state.
@@ -55,6 +71,9 @@
     pub config: Arc<Config>,
     /// Data centres whose backend servers get no new requests.
     pub evacuated: BTreeSet<id::DataCentre>,
+    /// How often the evacuation of each data centre was started or reversed.
+    #[serde(default)]
+    pub revisions: BTreeMap<id::DataCentre, Revision>,
     /// The entry processes that share the rate limits, with their data centres.
     pub entries: BTreeMap<id::Process, id::DataCentre>,
     /// The initial members of the stores' log; empty until they are set.
@@ -74,8 +93,18 @@
                 }
                 is_newer
             }
-            Command::Evacuate(data_centre) => self.evacuated.insert(data_centre.clone()),
-            Command::Restore(data_centre) => self.evacuated.remove(data_centre),
+            Command::Evacuate(data_centre) => self.set_evacuated(data_centre, true),
+            Command::Restore(data_centre) => self.set_evacuated(data_centre, false),
+            Command::SetEvacuated {
+                data_centre,
+                evacuated,
+                revision,
+            } => {
+                if self.revision(data_centre) != *revision {
+                    return Effect::Superseded;
+                }
+                self.set_evacuated(data_centre, *evacuated)
+            }
             Command::Admit { entry, data_centre } => self
                 .entries
                 .insert(entry.clone(), data_centre.clone())
@@ -100,6 +129,25 @@
         }
     }
 
+    /// The revision of a data centre.
+    #[must_use]
+    pub fn revision(&self, data_centre: &id::DataCentre) -> Revision {
+        self.revisions.get(data_centre).copied().unwrap_or_default()
+    }
+
+    /// Returns whether the state changed.
+    fn set_evacuated(&mut self, data_centre: &id::DataCentre, evacuated: bool) -> bool {
+        let changed = if evacuated {
+            self.evacuated.insert(data_centre.clone())
+        } else {
+            self.evacuated.remove(data_centre)
+        };
+        if changed {
+            *self.revisions.entry(data_centre.clone()).or_default() += 1;
+        }
+        changed
+    }
+
     /// Checks the state's invariants.
     ///
     /// # Errors
--- a/crates/celerycove-fleet/tests/fleet.rs
+++ b/crates/celerycove-fleet/tests/fleet.rs
@@ -213,3 +213,57 @@
     let late = registry.merge(SECOND * 600, Duration::ZERO, at(0, "old-0".to_owned(), 1));
     assert_eq!(late, Change::Update);
 }
+
+/// Guards against a delayed order that undoes a later one: orders that were accepted at an earlier
+/// revision and then waited on their way are delivered in every order after the later ones.
+#[test]
+fn delayed_orders_do_not_undo_later_ones_in_whatever_order_they_arrive() {
+    let order = |fleet: &Fleet, evacuated| Command::SetEvacuated {
+        data_centre: "a".into(),
+        evacuated,
+        revision: fleet.revision(&"a".into()),
+    };
+    let mut fleet = Fleet::default();
+    // Copies of the first three orders wait elsewhere while the orders themselves are carried out.
+    let mut waiting = Vec::new();
+    for evacuated in [true, false, true] {
+        let command = order(&fleet, evacuated);
+        assert_eq!(fleet.apply(&command), Effect::Changed);
+        waiting.push(command);
+    }
+    for last in [true, false] {
+        let mut fleet = fleet.clone();
+        let command = order(&fleet, last);
+        fleet.apply(&command);
+        let expected = fleet.clone();
+        for permutation in [
+            [0, 1, 2],
+            [0, 2, 1],
+            [1, 0, 2],
+            [1, 2, 0],
+            [2, 0, 1],
+            [2, 1, 0],
+        ] {
+            for index in permutation {
+                assert_eq!(fleet.apply(&waiting[index]), Effect::Superseded);
+                assert_eq!(fleet, expected);
+            }
+        }
+    }
+}
+
+/// Guards against a repeated order without effect that makes a later one count as superseded.
+#[test]
+fn an_order_that_changes_nothing_keeps_the_revision() {
+    let order = |evacuated, revision| Command::SetEvacuated {
+        data_centre: "a".into(),
+        evacuated,
+        revision,
+    };
+    let mut fleet = Fleet::default();
+    assert_eq!(fleet.apply(&order(false, 0)), Effect::Unchanged);
+    assert_eq!(fleet.apply(&order(true, 0)), Effect::Changed);
+    assert_eq!(fleet.apply(&order(true, 1)), Effect::Unchanged);
+    assert_eq!(fleet.apply(&order(false, 1)), Effect::Changed);
+    assert_eq!(fleet.revision(&"b".into()), 0, "another data centre");
+}
--- a/crates/celerycove-gateway/src/control.rs
+++ b/crates/celerycove-gateway/src/control.rs
@@ -8,6 +8,7 @@
 mod bootstrap;
 mod crashes;
 mod maintenance;
+mod standstill;
 
 pub(crate) use maintenance::member_candidates;
 
@@ -20,7 +21,7 @@
 use arc_swap::ArcSwap;
 use celerycove_control::{Answer, State, log::Command as LogCommand};
 use celerycove_disk::Store;
-use celerycove_fleet::{Change, Command, Config, Fleet, registry::Stage};
+use celerycove_fleet::{Change, Command, Config, Effect, Fleet, registry::Stage};
 use celerycove_limit::{Lease, Ownership, Request as LeaseRequest, fallback::reduced_entitlement};
 use celerycove_log::limit::Limit;
 use celerycove_route::direct::{Report, demand::Collector};
@@ -95,6 +96,7 @@
     crashes: Mutex<celerycove_quarantine::Table>,
     maintenance: Mutex<maintenance::State>,
     bootstrap: Mutex<bootstrap::Bootstrap>,
+    standstill: Mutex<standstill::Standstill>,
     /// Limits the lines about requests without room for their bodies.
     no_room_lines: Mutex<Limit>,
 }
@@ -145,6 +147,7 @@
         crashes: Mutex::default(),
         maintenance: Mutex::default(),
         bootstrap: Mutex::new(bootstrap::Bootstrap::new(&setup)),
+        standstill: Mutex::default(),
         no_room_lines: Mutex::new(Limit::new(NO_ROOM_LINES)),
         setup,
     });
@@ -241,6 +244,14 @@
         })
     }
 
+    /// Notes that this process runs, and whether it stood still before.
+    fn note_running(&self, now: Timestamp) {
+        if let Some(stood_still) = lock(&self.standstill).note(now) {
+            log::warn!(target: "run", stood_still_ms = clock::millis(stood_still);
+                "this process stood still; what waited for it meanwhile is rejected");
+        }
+    }
+
     fn replica(&self) -> Option<&Arc<Replica>> {
         self.replica.get()
     }
@@ -375,6 +386,7 @@
             .propose(LogCommand::Fleet(command), COMMIT_TIMEOUT)
             .await
         {
+            Answer::Fleet(Effect::Superseded) => Reply::Superseded,
             Answer::Fleet(_) => Reply::Committed,
             Answer::NotLeader(leader) => Reply::NotLeader(leader),
             _ => Reply::Unknown,
--- a/crates/celerycove-gateway/src/control/api.rs
+++ b/crates/celerycove-gateway/src/control/api.rs
@@ -37,6 +37,8 @@
 /// How long the state of a retirement may take to find out; shorter than the second after which an
 /// operator tries another instance.
 const RETIREMENT_STATE_TIMEOUT: Duration = Duration::from_millis(900);
+/// How often an order is tried if others for the same data centre come in between.
+const MAX_ORDER_ATTEMPTS: usize = 3;
 /// `Retry-After` for a request that finds no room for its body: longer than most commits take.
 const RETRY_AFTER_NO_ROOM_SECONDS: &str = "1";
 
@@ -48,6 +50,13 @@
                 "unknown operation");
             return http::text_response(StatusCode::NOT_FOUND, "no such call");
         };
+        let now = clock::now();
+        self.note_running(now);
+        if operation.changes_state() && lock(&self.standstill).may_have_waited(now) {
+            log::info!(target: "operate", order:? = operation;
+                "rejected a request that may have waited while this process stood still");
+            return unavailable("this instance stood still; nothing was done");
+        }
         let body = match admission::read(body, self.connections.account()).await {
             Ok(body) => body,
             Err(error) => return self.reject_body(&operation, error),
@@ -114,14 +123,8 @@
                 Reply::State(_) => unavailable("there is no configuration yet"),
                 _ => unavailable("the newest configuration is not known for sure"),
             },
-            Operation::Evacuate(data_centre) => {
-                self.commit_evacuation(Command::Evacuate(data_centre.clone()), &data_centre)
-                    .await
-            }
-            Operation::Restore(data_centre) => {
-                self.commit_evacuation(Command::Restore(data_centre.clone()), &data_centre)
-                    .await
-            }
+            Operation::Evacuate(data_centre) => self.set_evacuated(&data_centre, true).await,
+            Operation::Restore(data_centre) => self.set_evacuated(&data_centre, false).await,
             Operation::Retire(instance) => self.retire(&instance).await,
             Operation::RetireState(instance) => self.retirement_state(&instance).await,
         }
@@ -207,20 +210,37 @@
     }
 
     /// Commits the start or the end of an evacuation.
-    async fn commit_evacuation(
-        &self,
-        command: Command,
-        data_centre: &id::DataCentre,
-    ) -> Response<Body> {
+    ///
+    /// The order may have been delayed, and its sender may have given it up, had it carried out by
+    /// another instance and sent later ones. So this reads the newest state first, which takes a round
+    /// trip; meanwhile hyper drops this future if the sender has closed its connection. From then on the
+    /// order applies to the state that was read only, however long it takes to reach the leader.
+    async fn set_evacuated(&self, data_centre: &id::DataCentre, evacuated: bool) -> Response<Body> {
         if !self.setup.data_centres.contains(data_centre) {
             return http::text_response(StatusCode::NOT_FOUND, "no such data centre");
         }
-        match self.commit(command).await {
-            Reply::Committed => {
-                http::json_response(StatusCode::OK, bytes::Bytes::from_static(b"{}"))
+        for _ in 0..MAX_ORDER_ATTEMPTS {
+            let Reply::State(fleet) = self.read_latest().await else {
+                return unavailable("the newest state is not known for sure");
+            };
+            let revision = fleet.revision(data_centre);
+            let command = Command::SetEvacuated {
+                data_centre: data_centre.clone(),
+                evacuated,
+                revision,
+            };
+            match self.commit(command).await {
+                Reply::Committed => {
+                    return http::json_response(StatusCode::OK, bytes::Bytes::from_static(b"{}"));
+                }
+                Reply::Superseded => {
+                    log::info!(target: "operate", data_centre:% = data_centre, evacuated, revision;
+                        "an order had no effect: another one came in between");
+                }
+                _ => return unavailable("the order may or may not be committed"),
             }
-            _ => unavailable("the order may or may not be committed"),
         }
+        unavailable("other orders for this data centre come in between")
     }
 
     /// Starts the retirement of an instance's store, unless too few stores would remain.
--- a/crates/celerycove-gateway/src/control/maintenance.rs
+++ b/crates/celerycove-gateway/src/control/maintenance.rs
@@ -54,6 +54,7 @@
         loop {
             rounds.tick().await;
             let now = clock::now();
+            self.note_running(now);
             self.fleet_state.add_peer(&self.local_peer);
             for peer in self.broadcaster.connected_peers() {
                 self.fleet_state.add_peer(&peer);
--- a/crates/celerycove-gateway/src/dialect.rs
+++ b/crates/celerycove-gateway/src/dialect.rs
@@ -98,6 +98,14 @@
     RetireState(Arc<str>),
 }
 
+impl Operation {
+    /// Whether the operation changes what the fleet does, so that carrying it out late can do harm.
+    #[must_use]
+    pub fn changes_state(&self) -> bool {
+        !matches!(self, Self::Read | Self::RetireState(_))
+    }
+}
+
 /// Translates between a deployment's HTTP conventions and the types of this crate.
 pub trait Dialect: Send + Sync + 'static {
     /// Reads the metadata of a caller's request.
--- a/crates/celerycove-gateway/src/message.rs
+++ b/crates/celerycove-gateway/src/message.rs
@@ -100,6 +100,9 @@
     Loans(Vec<Lease>),
     /// The command is committed.
     Committed,
+    /// The command is committed without effect: it was accepted before the state that it is about last
+    /// changed.
+    Superseded,
     /// The newest state.
     State(Arc<Fleet>),
     /// Whether the store may be taken away: the leader's answer, which a majority has confirmed.
--- a/crates/celerycove-gateway/tests/callers.rs
+++ b/crates/celerycove-gateway/tests/callers.rs
@@ -455,3 +455,52 @@
         assert_eq!(deployment.executed_requests().len(), 3);
     });
 }
+
+/// The status that a caller's request gets.
+async fn call_status(deployment: &Deployment, id: &str) -> u16 {
+    let reply = deployment.call(id, "/plain/x", Some("key-1")).await;
+    reply.status
+}
+
+/// Guards against an order that is carried out though its sender has given it up: the sender may have
+/// had it, and a later one, carried out by another instance.
+#[test]
+fn an_order_whose_sender_has_closed_its_connection_is_not_carried_out() {
+    fleet::run(async |deployment: &Deployment| {
+        assert_eq!(deployment.order("POST", "/evacuations/a").await, 200);
+        for round in 0..10 {
+            drop(deployment.write_order("DELETE", "/evacuations/a"));
+            tokio::time::sleep(Duration::from_millis(300)).await;
+            let status = call_status(deployment, &format!("given-up-{round}")).await;
+            assert_eq!(status, 503, "the evacuation is in force");
+        }
+        assert_eq!(deployment.order("DELETE", "/evacuations/a").await, 200);
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        assert_eq!(call_status(deployment, "restored").await, 200);
+    });
+}
+
+/// Guards against an order that is carried out after it waited in the sockets of a process that stood
+/// still, though its sender keeps the connection open.
+#[test]
+fn an_order_that_waited_while_the_process_stood_still_is_rejected() {
+    fleet::run(async |deployment: &Deployment| {
+        assert_eq!(deployment.order("POST", "/evacuations/a").await, 200);
+        let stream = deployment.write_order("DELETE", "/evacuations/a");
+        // Nothing of the deployment runs meanwhile.
+        std::thread::sleep(Duration::from_millis(1_500));
+        stream.set_nonblocking(true).expect("a socket");
+        let mut stream = TcpStream::from_std(stream).expect("a socket");
+        let mut response = String::new();
+        let reading = stream.read_to_string(&mut response);
+        let reading = tokio::time::timeout(Duration::from_secs(5), reading).await;
+        reading.expect("in time").expect("a response");
+        assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+        assert!(response.ends_with("nothing was done"), "{response}");
+        assert_eq!(call_status(deployment, "evacuated").await, 503);
+        tokio::time::sleep(Duration::from_millis(800)).await;
+        assert_eq!(deployment.order("DELETE", "/evacuations/a").await, 200);
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        assert_eq!(call_status(deployment, "restored").await, 200);
+    });
+}
--- a/crates/celerycove-gateway/tests/callers/fleet.rs
+++ b/crates/celerycove-gateway/tests/callers/fleet.rs
@@ -2,6 +2,7 @@
 //! process and connected over loopback.
 
 use std::{
+    io::Write as _,
     net::{SocketAddr, TcpListener},
     path::PathBuf,
     sync::{Arc, Mutex, PoisonError},
@@ -287,6 +288,22 @@
         stream
     }
 
+    /// Sends an order without a body to the control instance and returns the status.
+    pub async fn order(&self, method: &str, path: &str) -> u16 {
+        self.call_control(method, path, String::new()).await.status
+    }
+
+    /// Writes an order to a new connection. Neither end of the connection is handled by this process
+    /// before the next time that the test waits.
+    pub fn write_order(&self, method: &str, path: &str) -> std::net::TcpStream {
+        let mut stream = std::net::TcpStream::connect(self.control_address).expect("a connection");
+        let head = format!(
+            "{method} {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\ncontent-length: 0\r\n\r\n"
+        );
+        stream.write_all(head.as_bytes()).expect("sent");
+        stream
+    }
+
     pub async fn read_config(&self) -> String {
         let reply = self.call_control("GET", "/config", String::new()).await;
         assert_eq!(reply.status, 200);
