fix(gateway): count unfinished events in the memory account

Cause: the buffer of an unfinished event (up to 1 MB) and the text of a kept turn were in no part of the account; hyper's buffer of a connection grew to 400 kB. Interim responses without end took the processor from other requests.

Change: part `events` of the account, taken from `streams`; 4 kB of each stream are free, so that streams of sound servers don't depend on it. Buffers of connections to backend servers are at most 64 kB; a connection with more than 16 interim responses is closed.

--- a/crates/celerycove-gateway/src/entry/events.rs
+++ b/crates/celerycove-gateway/src/entry/events.rs
@@ -1,7 +1,11 @@
 //! Splits a stream of server-sent events into whole events.
 
+use std::sync::Arc;
+
 use bytes::{Bytes, BytesMut};
 
+use crate::memory::{Account, Part, Room};
+
 /// Limit on the length of an event; a longer one does not come from a model engine.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
@@ -31,10 +35,46 @@
     }
 }
 
+/// What a stream may hold without room in the account. Events of a sound engine are much shorter, so
+/// that streams with very long ones can't take the memory from others.
+const FREE_BYTES: usize = 4 << 10;
+/// How much a buffer that grows takes for each byte that it holds, since its capacity is doubled.
+const CAPACITY_FACTOR: usize = 2;
+
+/// The room that a growing buffer of a stream takes.
+#[derive(Debug)]
+pub(super) struct Held(Room);
+
+impl Held {
+    pub(super) fn new(account: &Arc<Account>) -> Self {
+        Self(account.empty(Part::Events))
+    }
+
+    /// Adjusts the room to a buffer of `length` bytes.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if other streams take the memory.
+    pub(super) fn adjust(&mut self, length: usize) -> Result<(), NoRoom> {
+        let bytes = length.saturating_sub(FREE_BYTES) * CAPACITY_FACTOR;
+        if self.0.try_resize(bytes) {
+            Ok(())
+        } else {
+            Err(NoRoom)
+        }
+    }
+}
+
+/// Long events of other streams take the memory.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("there is no memory for a long event")]
+pub(super) struct NoRoom;
+
 /// Buffers bytes until they form whole events.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct Splitter {
     buffer: BytesMut,
+    held: Held,
     /// Bytes at the start of the buffer that are known to hold no end of an event.
     searched: usize,
 }
@@ -45,7 +85,16 @@
 pub(super) struct TooLong;
 
 impl Splitter {
-    /// Appends received bytes.
+    pub(super) fn new(account: &Arc<Account>) -> Self {
+        Self {
+            buffer: BytesMut::new(),
+            held: Held::new(account),
+            searched: 0,
+        }
+    }
+
+    /// Appends received bytes. Once the whole events are removed, [`hold_rest`](Self::hold_rest) must
+    /// be called.
     ///
     /// # Errors
     ///
@@ -68,6 +117,19 @@
         Some(Event { bytes, id })
     }
 
+    /// Takes room for the unfinished event in the buffer, or returns that of finished ones.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if other streams take the memory.
+    pub(super) fn hold_rest(&mut self) -> Result<(), NoRoom> {
+        if self.buffer.is_empty() {
+            // An empty buffer would keep the memory of the events that were split from it.
+            self.buffer = BytesMut::new();
+        }
+        self.held.adjust(self.buffer.len())
+    }
+
     /// Returns whether no part of an event is left in the buffer.
     pub(super) fn is_empty(&self) -> bool {
         self.buffer.is_empty()
--- a/crates/celerycove-gateway/src/entry/pool.rs
+++ b/crates/celerycove-gateway/src/entry/pool.rs
@@ -2,7 +2,10 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicUsize, Ordering::Relaxed},
+    },
     time::Duration,
 };
 
@@ -29,6 +32,13 @@
 /// Limit on idle connections kept for one backend server.
 const MAX_IDLE_PER_BACKEND: usize = 24;
 
+/// The largest head of a response, and the most that is read at once. Hyper's buffer grows to this
+/// size while a backend server sends faster than the response is read.
+const MAX_BUFFER_BYTES: usize = 64 << 10;
+/// The most interim responses (1xx) before a response: reading them without end takes the processor
+/// from other requests.
+const MAX_INTERIM_RESPONSES: usize = 16;
+
 /// Identifies one incarnation of a backend server.
 pub(super) type Key = (id::Backend, id::Incarnation);
 
@@ -83,6 +93,7 @@
         };
         http::set_socket_options(&stream);
         let (sender, connection) = hyper::client::conn::http1::Builder::new()
+            .max_buf_size(MAX_BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
             .await
             .map_err(std::io::Error::other)?;
@@ -138,7 +149,7 @@
     /// Returns whether the backend server may have run the request.
     pub(super) async fn send(
         &mut self,
-        request: Request<Full<Bytes>>,
+        mut request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
         let Some(sender) = self.sender.as_mut() else {
             return Err(SendError::NotSent);
@@ -146,6 +157,12 @@
         if sender.ready().await.is_err() {
             return Err(SendError::NotSent);
         }
+        let (task, interim) = (self.task.clone(), AtomicUsize::new(0));
+        hyper::ext::on_informational(&mut request, move |_| {
+            if interim.fetch_add(1, Relaxed) >= MAX_INTERIM_RESPONSES {
+                task.abort();
+            }
+        });
         let sent = sender.try_send_request(request).await;
         sent.map_err(|mut error: TrySendError<_>| match error.take_message() {
             Some(_) => SendError::NotSent,
--- a/crates/celerycove-gateway/src/entry/relay.rs
+++ b/crates/celerycove-gateway/src/entry/relay.rs
@@ -11,7 +11,7 @@
 
 use super::{
     chains::Chain,
-    events::Splitter,
+    events::{Held, Splitter},
     exchange::{Dispatch, Exchange, InFlightGuard, keeps_alive},
     outbox,
     turns::Client as TurnClient,
@@ -20,6 +20,7 @@
     clock,
     http::{Body, BoxError},
     link::lock,
+    memory::Part,
 };
 
 /// Gap between a stream's events after which it is resumed at another backend server, if it may be.
@@ -28,6 +29,8 @@
 /// How a stream ends if its connection breaks: noticed as such, or by an event that is cut short.
 const CONNECTION_LOST: &str = "connection lost";
 const CUT_EVENT: &str = "stopped in an event";
+/// How a stream ends whose unfinished event finds no memory.
+const NO_ROOM: &str = "no memory for an event";
 
 /// Reservation of a turn's tokens in the stores. Dropping it settles the reservation, so that this
 /// happens however the turn ends.
@@ -73,6 +76,10 @@
     pub(super) chain: Chain,
     /// The turn's input, followed by the data of the events received so far.
     pub(super) text: BytesMut,
+    /// The size of the input, which counts among the callers' bodies.
+    pub(super) input_bytes: usize,
+    /// The room that the events take.
+    pub(super) held: Held,
 }
 
 /// A stream that is being forwarded to the caller.
@@ -101,6 +108,14 @@
     TimedOut,
 }
 
+impl Dispatch {
+    /// Logs that long events of other streams take the memory, and returns how the stream ends.
+    fn no_room_for_events(&self) -> Stop {
+        self.entry.log_no_room(Part::Events);
+        Stop::Broken(NO_ROOM)
+    }
+}
+
 impl Relay {
     /// Forwards the stream in a separate task and returns the body that the caller reads.
     pub(super) fn start(self, exchange: Exchange) -> Body {
@@ -153,7 +168,7 @@
             sent_at,
         } = exchange;
         let guard = InFlightGuard::new(&self.dispatch, &choice);
-        let mut splitter = Splitter::default();
+        let mut splitter = Splitter::new(self.dispatch.entry.connections.account());
         let mut last_event_at = clock::now();
         let stop = loop {
             // Checked also while data arrives: it may never end, and need not consist of events.
@@ -273,10 +288,18 @@
                 reservation.spent += self.event_tokens;
             }
             if let Some(retained) = &mut self.retained {
+                let events = retained.text.len() - retained.input_bytes;
+                retained
+                    .held
+                    .adjust(events + event.bytes.len())
+                    .map_err(|_| self.dispatch.no_room_for_events())?;
                 event.append_data(&mut retained.text);
             }
             out.extend_from_slice(&event.bytes);
         }
+        splitter
+            .hold_rest()
+            .map_err(|_| self.dispatch.no_room_for_events())?;
         if out.is_empty() {
             return Ok(());
         }
--- a/crates/celerycove-gateway/src/entry/serve.rs
+++ b/crates/celerycove-gateway/src/entry/serve.rs
@@ -25,6 +25,7 @@
 use super::{
     Entry, Refusal,
     chains::Chain,
+    events::Held,
     exchange::{Dispatch, target},
     hop::strip_hop_by_hop,
     rate_limit::Claim,
@@ -445,6 +446,8 @@
     Ok(RetainedTurn {
         previous: dispatch.call.previous_turn.clone(),
         chain,
+        input_bytes: input.len(),
         text: BytesMut::from(&input[..]),
+        held: Held::new(dispatch.entry.connections.account()),
     })
 }
--- a/crates/celerycove-gateway/src/memory.rs
+++ b/crates/celerycove-gateway/src/memory.rs
@@ -49,13 +49,15 @@
     Responses,
     /// Data of event streams that waits for callers.
     Streams,
+    /// Unfinished events, and the text of turns that are kept.
+    Events,
     /// Cached chains of turns.
     Chains,
 }
 
 impl Part {
     /// All parts.
-    pub const ALL: [Self; 11] = [
+    pub const ALL: [Self; 12] = [
         Self::Log,
         Self::LogInput,
         Self::Snapshots,
@@ -66,6 +68,7 @@
         Self::CallerBodies,
         Self::Responses,
         Self::Streams,
+        Self::Events,
         Self::Chains,
     ];
 
@@ -83,6 +86,7 @@
             Self::CallerBodies => "caller_bodies",
             Self::Responses => "responses",
             Self::Streams => "streams",
+            Self::Events => "events",
             Self::Chains => "chains",
         }
     }
@@ -114,7 +118,8 @@
                 (Self::ReceivedFrames, 12),
                 (Self::CallerBodies, 26),
                 (Self::Responses, 32),
-                (Self::Streams, 16),
+                (Self::Streams, 10),
+                (Self::Events, 6),
                 (Self::Chains, 8),
             ],
         };
@@ -312,6 +317,16 @@
         extended.is_ok()
     }
 
+    /// Changes the size, unless the part would then exceed its limit. Returns whether it did.
+    #[must_use]
+    pub fn try_resize(&mut self, bytes: usize) -> bool {
+        if let Some(more) = bytes.checked_sub(self.bytes) {
+            return self.try_extend(more);
+        }
+        self.shrink_to(bytes);
+        true
+    }
+
     /// Returns what exceeds `bytes`.
     pub fn shrink_to(&mut self, bytes: usize) {
         let freed = self.bytes.saturating_sub(bytes);
--- a/crates/celerycove-gateway/tests/callers.rs
+++ b/crates/celerycove-gateway/tests/callers.rs
@@ -12,6 +12,7 @@
 
 use backend::Failure;
 use fleet::{Deployment, Reply};
+use futures_util::future::join_all;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
@@ -504,3 +505,50 @@
         assert_eq!(call_status(deployment, "restored").await, 200);
     });
 }
+
+/// Guards against events without end that fill the memory: the process would end, and with it the
+/// requests of all other callers.
+#[test]
+fn many_long_events_without_end_stay_within_the_memory_limit() {
+    const STREAMS: usize = 80;
+    fleet::run(async |deployment: &Deployment| {
+        deployment.set_failures(vec![Failure::LongEvent; STREAMS]);
+        let streams = (0..STREAMS).map(async |number| {
+            let id = format!("long-{number}");
+            deployment.stream(&id, "/kept/x").await
+        });
+        let watching = async {
+            let mut largest = 0;
+            for round in 0..30 {
+                tokio::time::sleep(Duration::from_millis(100)).await;
+                let resident = celerycove_gateway::memory::resident_bytes();
+                largest = largest.max(resident.expect("the system tells"));
+                let id = format!("sound-{round}");
+                let reply = deployment.call(&id, "/plain/x", Some("key-1")).await;
+                assert_eq!(reply.status, 200, "others are served meanwhile");
+            }
+            largest
+        };
+        let (replies, largest) = tokio::join!(join_all(streams), watching);
+        assert!(replies.iter().all(|reply| !reply.complete));
+        // The test process also holds the control instance, the store, the backend servers and the
+        // callers.
+        assert!(largest < Deployment::memory_limit(), "{largest} bytes");
+    });
+}
+
+#[test]
+fn interim_responses_without_end_fail_the_request_and_hold_up_no_other() {
+    fleet::run(async |deployment: &Deployment| {
+        let reply = assert_cut_off(deployment, Failure::EndlessInterim, "/once/x").await;
+        assert_eq!(reply.status, 502);
+        deployment.set_failures(vec![Failure::EndlessInterim; 30]);
+        let calls = (0..30).map(async |number| {
+            let id = format!("interim-{number}");
+            deployment.call(&id, "/once/x", Some("key-1")).await
+        });
+        let replies = tokio::time::timeout(Duration::from_secs(3), join_all(calls)).await;
+        let replies = replies.expect("cut off long before the deadline of four seconds");
+        assert!(replies.iter().all(|reply| reply.status == 502));
+    });
+}
--- a/crates/celerycove-gateway/tests/callers/backend.rs
+++ b/crates/celerycove-gateway/tests/callers/backend.rs
@@ -40,6 +40,10 @@
     EndlessBody,
     /// Sends header fields until the connection is closed.
     EndlessHead,
+    /// Sends almost a megabyte of one event of a stream, and then nothing until the connection is closed.
+    LongEvent,
+    /// Sends interim responses until the connection is closed.
+    EndlessInterim,
     /// Sends a whole response and, some time later, a second copy of it.
     SecondCopy,
 }
@@ -175,6 +179,10 @@
                 .expect("a lock")
                 .push(request.executed.clone());
         }
+        if failure == Some(Failure::EndlessInterim) {
+            send_without_end(&mut stream, "HTTP/1.1 100 Continue\r\n\r\n").await;
+            return;
+        }
         if failure == Some(Failure::EndlessHead) {
             let head = "HTTP/1.1 200 OK\r\n";
             if stream.write_all(head.as_bytes()).await.is_ok() {
@@ -255,6 +263,17 @@
                 let _ = stream.read(&mut byte).await;
                 return None;
             }
+            Some(Failure::LongEvent) => {
+                let start = format!("{:x}\r\ndata: ", 1_000_000);
+                stream.write_all(start.as_bytes()).await.ok()?;
+                for _ in 0..990 {
+                    stream.write_all(&[b'x'; 1_000]).await.ok()?;
+                }
+                // Returns when the entry closes the connection.
+                let mut byte = [0];
+                let _ = stream.read(&mut byte).await;
+                return None;
+            }
             Some(Failure::TrickleStream) if index == 1 => {
                 while write_chunk(stream, ":").await.is_some() {
                     tokio::time::sleep(TRICKLE_INTERVAL).await;
--- a/crates/celerycove-gateway/tests/callers/fleet.rs
+++ b/crates/celerycove-gateway/tests/callers/fleet.rs
@@ -236,8 +236,13 @@
         self.spare.clear_executed();
     }
 
+    /// The memory limit of the entry in bytes.
+    pub fn memory_limit() -> u64 {
+        MEMORY_LIMIT_BYTES as u64
+    }
+
     /// Sets how the next requests fail, in the order in which backend servers receive them.
-    pub fn set_failures<const N: usize>(&self, failures: [Failure; N]) {
+    pub fn set_failures(&self, failures: impl Into<std::collections::VecDeque<Failure>>) {
         *self.failures.lock().expect("a lock") = failures.into();
     }
 
