fix(gateway): a planned stop passes on only what can end in time

Cause: the listener accepted for as long as connections came within 50 ms of each other, and whatever came was passed on, whether or not it could end before the process did.

Change: the listener closes 0.3 s after the readiness notice; after the notice a request is passed on only if its deadline passes before the entry ends, and refused at once as not run otherwise; what is open at the end gets a 504. `entry/stop.rs` holds the time table. Ruled out: ending the notice earlier, as the load balancer needs two probes, and shorter deadlines for late requests, as most would then fail after they had run.

--- a/crates/celerycove-gateway/src/entry.rs
+++ b/crates/celerycove-gateway/src/entry.rs
@@ -14,14 +14,12 @@
 mod refuse;
 mod relay;
 mod serve;
+mod stop;
 mod turns;
 
 use std::{
     collections::BTreeMap,
-    sync::{
-        Arc, Mutex,
-        atomic::{AtomicBool, Ordering::Relaxed},
-    },
+    sync::{Arc, Mutex, OnceLock},
     time::Duration,
 };
 
@@ -32,7 +30,7 @@
 use celerycove_route::direct::{Registration, Servers};
 use celerycove_types::{Timestamp, id};
 use hyper::{Request, Response, StatusCode, body::Incoming};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use crate::{
     Dialect, Error, Setup,
@@ -48,17 +46,11 @@
 
 pub use refuse::Refusal;
 
-/// How long a stopping entry keeps accepting requests after it reports that it is not ready. The
-/// load balancer probes readiness once a second and acts on the second failed probe.
-const READINESS_NOTICE: Duration = Duration::from_millis(2_600);
 /// How often the requests in flight are reported: several times while a request runs.
 const DEMAND_INTERVAL: Duration = Duration::from_millis(200);
 /// How often failures of backend servers are reported: several times within the shortest period for
 /// which a failed one is avoided.
 const EVIDENCE_INTERVAL: Duration = Duration::from_millis(150);
-/// Part of the grace period that is kept free for the exit of the process.
-const EXIT_MARGIN: Duration = Duration::from_millis(700);
-
 /// Lines a second about parts of the memory without room.
 const NO_ROOM_LINES: u32 = 1;
 
@@ -77,7 +69,10 @@
     turns: Arc<turns::Client>,
     metrics: Arc<Metrics>,
     crashes: crashes::Crashes,
-    stopping: AtomicBool,
+    /// Set once the entry is asked to stop.
+    stop: OnceLock<stop::Plan>,
+    /// Notified when requests that are still open get their answers, shortly before the process ends.
+    time_is_up: Notify,
     /// Programs of which this entry has admitted a request recently.
     recent_programs: Mutex<recent::Programs>,
     /// Limits the lines about parts of the memory without room.
@@ -127,7 +122,8 @@
         connections: connections.clone(),
         metrics,
         crashes: crashes::Crashes::default(),
-        stopping: AtomicBool::new(false),
+        stop: OnceLock::new(),
+        time_is_up: Notify::new(),
         recent_programs: Mutex::default(),
         no_room_lines: Mutex::new(Limit::new(NO_ROOM_LINES)),
         setup,
@@ -165,26 +161,25 @@
 
 impl Running {
     /// Stops the entry: reports that it is not ready, accepts requests for a while longer, and
-    /// finishes open requests within the grace period.
-    pub async fn shut_down(self) {
-        self.entry.stopping.store(true, Relaxed);
-        let grace = self
-            .entry
-            .setup
-            .bounds
-            .grace_period
-            .saturating_sub(EXIT_MARGIN);
-        let notice = READINESS_NOTICE.min(grace / 2);
-        tokio::time::sleep(notice).await;
+    /// finishes open requests within the grace period. What can't end in time is refused, or answered
+    /// shortly before the process ends.
+    pub async fn shut_down(mut self) {
+        let grace_period = self.entry.setup.bounds.grace_period;
+        let plan = stop::Plan::new(clock::now(), grace_period);
+        let plan = self.entry.stop.get_or_init(|| plan);
+        tokio::time::sleep(plan.until_late(clock::now())).await;
         // The receiver is gone only if the server has already ended.
         let _ = self.stop.send(true);
-        if tokio::time::timeout(grace.saturating_sub(notice), self.server_task)
-            .await
-            .is_err()
-        {
+        let is_over = tokio::time::timeout(plan.until_answers(clock::now()), &mut self.server_task);
+        if is_over.await.is_err() {
             log::warn!(target: "run", "requests are still open at the end of the grace period");
+            self.entry.time_is_up.notify_waiters();
+            let left = plan.until_end(clock::now());
+            if tokio::time::timeout(left, self.server_task).await.is_err() {
+                log::warn!(target: "run", "some requests could not be answered in time");
+            }
         }
-        self.entry.turns.flush(EXIT_MARGIN / 2).await;
+        self.entry.turns.flush(stop::EXIT_MARGIN / 2).await;
     }
 
     /// Opens connections to the control instances in the new settings.
@@ -356,7 +351,7 @@
     }
 
     fn is_ready(&self) -> bool {
-        self.index.load().is_some() && !self.stopping.load(Relaxed)
+        self.index.load().is_some() && self.stop.get().is_none()
     }
 }
 
--- a/crates/celerycove-gateway/src/entry/exchange.rs
+++ b/crates/celerycove-gateway/src/entry/exchange.rs
@@ -128,6 +128,9 @@
             if self.deadline.saturating_sub(now) < MIN_TIME_LEFT {
                 return Err(self.timeout_refusal());
             }
+            if self.sent == 0 {
+                self.entry.check_stop(self.deadline)?;
+            }
             self.check_quarantine()?;
             let Some(choice) = self.choose_backend(now) else {
                 return Err(self.no_backend_refusal());
--- a/crates/celerycove-gateway/src/entry/refuse.rs
+++ b/crates/celerycove-gateway/src/entry/refuse.rs
@@ -30,6 +30,8 @@
     TooLong,
     /// The request's body was not received completely or in time.
     BodyBroken,
+    /// This instance stops before the request's deadline.
+    Stopping,
     /// Other requests take the memory that the request needs.
     NoMemory,
     /// The organisation exceeds its rate limit; a token is expected after the given time.
@@ -57,7 +59,8 @@
 /// `Retry-After` for refusals without a better estimate: about the time in which a failed leader is
 /// replaced.
 const RETRY_AFTER_UNAVAILABLE: Duration = Duration::from_millis(400);
-/// `Retry-After` if the backend servers or this instance's memory are at capacity: about the duration of one request.
+/// `Retry-After` if the backend servers or this instance's memory are at capacity, about the duration of one request, or
+/// if another instance can take the request.
 const RETRY_AFTER_FULL: Duration = Duration::from_millis(150);
 
 impl Refusal {
@@ -76,6 +79,7 @@
             Self::Failed => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
             Self::NotReady
+            | Self::Stopping
             | Self::NoMemory
             | Self::NoStore(_)
             | Self::Quarantined(_)
@@ -98,7 +102,7 @@
                 Some(delay.max(RETRY_AFTER_FULL))
             }
             Self::NotReady | Self::NoServer => Some(RETRY_AFTER_UNAVAILABLE),
-            Self::NoMemory | Self::Declined => Some(RETRY_AFTER_FULL),
+            Self::Stopping | Self::NoMemory | Self::Declined => Some(RETRY_AFTER_FULL),
             _ => None,
         }
     }
--- a/crates/celerycove-gateway/src/entry/serve.rs
+++ b/crates/celerycove-gateway/src/entry/serve.rs
@@ -1,9 +1,6 @@
 //! Handling of a caller's request: authentication, rate limit, forwarding and refusals.
 
-use std::{
-    sync::{Arc, atomic::Ordering::Relaxed},
-    time::Duration,
-};
+use std::{sync::Arc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
 use celerycove_fleet::{
@@ -62,13 +59,20 @@
             Err(_) => None,
         };
         let mut response = match call {
-            Ok(call) => match self.clone().serve(started, head, body, call).await {
-                Ok(response) => response,
-                Err(refusal) => self.refuse(started, request_id.as_ref(), refusal),
-            },
+            Ok(call) => {
+                let served = tokio::select! {
+                    biased;
+                    served = self.clone().serve(started, head, body, call) => served,
+                    () = self.time_is_up.notified() => Err(Refusal::TimedOut),
+                };
+                match served {
+                    Ok(response) => response,
+                    Err(refusal) => self.refuse(started, request_id.as_ref(), refusal),
+                }
+            }
             Err(error) => self.refuse(started, None, Refusal::Malformed(error.field)),
         };
-        if self.stopping.load(Relaxed) {
+        if self.stop.get().is_some() {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(header::CONNECTION, close);
         }
@@ -138,6 +142,8 @@
             Some(digests) => self.check_quarantine(&request, digests)?,
             None => false,
         };
+        let timeout = call.timeout.unwrap_or(admitted.route.timeout);
+        self.check_stop(started + timeout.min(admitted.route.timeout))?;
         let claim = self.token_claim(&admitted, &call);
         if let Some(organisation) = &admitted.organisation {
             self.spend_token(organisation, claim, &request, &call)
@@ -160,6 +166,14 @@
         result
     }
 
+    /// Rejects a request that is not passed on yet if this entry stops before its deadline.
+    pub(super) fn check_stop(&self, deadline: Timestamp) -> Result<(), Refusal> {
+        match self.stop.get() {
+            Some(plan) if !plan.admits(clock::now(), deadline) => Err(Refusal::Stopping),
+            _ => Ok(()),
+        }
+    }
+
     /// Logs that a part has no room for a request, and returns the refusal.
     fn refuse_for_memory(&self, part: Part) -> Refusal {
         self.log_no_room(part);
--- a/crates/celerycove-gateway/src/http.rs
+++ b/crates/celerycove-gateway/src/http.rs
@@ -32,6 +32,9 @@
 /// The delay after a connection could not be accepted, mostly because the process is out of file
 /// descriptors.
 pub const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// How long a stopping listener accepts connections that the system has established already. New ones
+/// may come for longer than that.
+const ACCEPT_BACKLOG_TIME: Duration = Duration::from_millis(300);
 /// The most connections that wait to be accepted.
 const LISTEN_BACKLOG: u32 = 1_024;
 /// Time limit for receiving the body of a request.
@@ -138,12 +141,23 @@
     }
     // Connections that the system has established already may carry requests; closing the listener
     // would reset them.
-    while let Ok(Ok((stream, _))) =
-        tokio::time::timeout(ACCEPT_RETRY_DELAY, listener.accept()).await
+    let accepting = async {
+        while let Ok(Ok((stream, _))) =
+            tokio::time::timeout(ACCEPT_RETRY_DELAY, listener.accept()).await
+        {
+            spawn_connection(stream, &service, &graceful);
+        }
+    };
+    if tokio::time::timeout(ACCEPT_BACKLOG_TIME, accepting)
+        .await
+        .is_err()
     {
-        spawn_connection(stream, &service, &graceful);
+        log::info!(target: "http", "the listener is closed while connections still arrive");
     }
     drop(listener);
+    // Hyper closes a connection that has read nothing when it shuts down; the last ones accepted get
+    // the time to read what was sent before.
+    tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
     graceful.shutdown().await;
 }
 
--- a/crates/celerycove-gateway/tests/callers.rs
+++ b/crates/celerycove-gateway/tests/callers.rs
@@ -552,3 +552,52 @@
         assert!(replies.iter().all(|reply| reply.status == 502));
     });
 }
+
+/// Guards against a planned stop that cuts what it has passed on: requests that come late in the grace
+/// period on open connections, and requests that are still open at its end.
+#[test]
+fn a_planned_stop_refuses_what_can_not_end_and_answers_what_it_has_passed_on() {
+    fleet::run_with_grace_period(Duration::from_secs(4), async |deployment: &Deployment| {
+        let request = |id: &str| {
+            format!(
+                "POST /once/x HTTP/1.1\r\nhost: test\r\nid: {id}\r\nkey: key-1\r\ncontent-length: 0\r\n\r\n"
+            )
+        };
+        deployment.set_failures([Failure::Silence, Failure::Silence]);
+        let began = tokio::time::Instant::now();
+        let at = |seconds: f64| began + Duration::from_secs_f64(seconds);
+        let stopping = deployment.stop_entry();
+        tokio::time::sleep_until(at(0.3)).await;
+        // The callers wait for four seconds, longer than the entry lives.
+        let mut open = deployment.connect().await.expect("still accepted");
+        let mut late = deployment.connect().await.expect("still accepted");
+        let late_request = request("late");
+        let (first, rest) = late_request.split_at(20);
+        late.write_all(first.as_bytes()).await.expect("sent");
+        open.write_all(request("open").as_bytes())
+            .await
+            .expect("sent");
+
+        tokio::time::sleep_until(at(2.2)).await;
+        late.write_all(rest.as_bytes()).await.expect("sent");
+        let head = response_head(&mut late, Duration::from_millis(500)).await;
+        let head = head.expect("an answer at once").to_lowercase();
+        assert!(head.starts_with("http/1.1 503"), "{head}");
+        assert!(head.contains("retry-after"), "{head}");
+        deployment
+            .connect()
+            .await
+            .expect_err("the listener is closed");
+
+        let head = response_head(&mut open, Duration::from_secs(2)).await;
+        let head = head.expect("an answer before the entry ends");
+        assert!(head.starts_with("HTTP/1.1 504"), "{head}");
+        let ended = tokio::time::timeout_at(at(4.0), stopping).await;
+        ended.expect("within the grace period").expect("no panic");
+        assert_eq!(
+            deployment.executed_requests().len(),
+            1,
+            "the late one was not passed on"
+        );
+    });
+}
--- a/crates/celerycove-gateway/tests/callers/backend.rs
+++ b/crates/celerycove-gateway/tests/callers/backend.rs
@@ -20,6 +20,8 @@
 pub enum Failure {
     /// Reads the request and closes the connection.
     CloseAfterReading,
+    /// Reads the request and sends nothing until the connection is closed.
+    Silence,
     /// Closes the connection in the middle of the response body.
     TruncateBody,
     /// Responds with the identifier of another request.
@@ -179,6 +181,11 @@
                 .expect("a lock")
                 .push(request.executed.clone());
         }
+        if failure == Some(Failure::Silence) {
+            let mut byte = [0];
+            let _ = stream.read(&mut byte).await;
+            return;
+        }
         if failure == Some(Failure::EndlessInterim) {
             send_without_end(&mut stream, "HTTP/1.1 100 Continue\r\n\r\n").await;
             return;
--- a/crates/celerycove-gateway/tests/callers/fleet.rs
+++ b/crates/celerycove-gateway/tests/callers/fleet.rs
@@ -37,6 +37,8 @@
 const PORTS: std::ops::Range<u16> = 21_000..29_000;
 /// The port that claims a block, and those of the deployment.
 const BLOCK_PORTS: u16 = 10;
+/// How long after the signal to stop a process is killed.
+const GRACE_PERIOD: Duration = Duration::from_secs(8);
 /// The memory limit of a small deployment.
 const MEMORY_LIMIT_BYTES: usize = 88_000_000;
 const CONFIG: &str = "version=2\nroute=plain /plain/ app\nroute=once /once/ app\n\
@@ -48,7 +50,7 @@
         .lock()
         .unwrap_or_else(PoisonError::into_inner);
     let disks = Disks::new();
-    run_deployment(&disks, test);
+    run_deployment(&disks, GRACE_PERIOD, test);
 }
 
 /// Runs `before` against a deployment, stops all its processes at once, and runs `after` against a
@@ -61,17 +63,26 @@
         .lock()
         .unwrap_or_else(PoisonError::into_inner);
     let disks = Disks::new();
-    run_deployment(&disks, before);
-    run_deployment(&disks, after);
+    run_deployment(&disks, GRACE_PERIOD, before);
+    run_deployment(&disks, GRACE_PERIOD, after);
 }
 
-fn run_deployment(disks: &Disks, test: impl AsyncFnOnce(&Deployment)) {
+/// Starts a deployment whose processes are killed this long after the signal to stop, and runs a test
+/// against it.
+pub fn run_with_grace_period(grace_period: Duration, test: impl AsyncFnOnce(&Deployment)) {
+    let _guard = DEPLOYMENT_LOCK
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner);
+    run_deployment(&Disks::new(), grace_period, test);
+}
+
+fn run_deployment(disks: &Disks, grace_period: Duration, test: impl AsyncFnOnce(&Deployment)) {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .expect("a runtime");
     runtime.block_on(async {
-        let deployment = Deployment::start(disks).await;
+        let deployment = Deployment::start(disks, grace_period).await;
         test(&deployment).await;
     });
 }
@@ -113,7 +124,7 @@
     caller_address: SocketAddr,
     control_address: SocketAddr,
     _stop: watch::Sender<bool>,
-    _entry: entry::Running,
+    entry: Mutex<Option<entry::Running>>,
 }
 
 /// A response, read up to its end or to the point where the connection failed.
@@ -158,7 +169,7 @@
 }
 
 impl Deployment {
-    async fn start(disks: &Disks) -> Self {
+    async fn start(disks: &Disks, grace_period: Duration) -> Self {
         let (first_port, folder) = (disks.first_port, disks.path.clone());
         let address = |offset| SocketAddr::from(([127, 0, 0, 1], first_port + offset));
         let setup = |role: Role, data: Option<&str>| Setup {
@@ -180,7 +191,7 @@
             data_dir: data.map(|name| folder.join(name)),
             tolerated_failures: 1,
             bounds: TimeLimits {
-                grace_period: Duration::from_secs(8),
+                grace_period,
                 replacement: Duration::from_secs(4),
             },
             memory: Budget::new(MEMORY_LIMIT_BYTES, role).expect("a budget"),
@@ -211,7 +222,7 @@
             caller_address: address(3),
             control_address: address(5),
             _stop: stop,
-            _entry: entry,
+            entry: Mutex::new(Some(entry)),
         };
         deployment.wait_until_serving().await;
         deployment
@@ -236,6 +247,17 @@
         self.spare.clear_executed();
     }
 
+    /// Asks the entry to stop; the task ends when it would exit.
+    pub fn stop_entry(&self) -> tokio::task::JoinHandle<()> {
+        let entry = self.entry.lock().expect("a lock").take();
+        tokio::spawn(entry.expect("a running entry").shut_down())
+    }
+
+    /// Opens a connection to the entry, without a request.
+    pub async fn connect(&self) -> std::io::Result<TcpStream> {
+        TcpStream::connect(self.caller_address).await
+    }
+
     /// The memory limit of the entry in bytes.
     pub fn memory_limit() -> u64 {
         MEMORY_LIMIT_BYTES as u64
@@ -295,7 +317,12 @@
 
     /// Sends an order without a body to the control instance and returns the status.
     pub async fn order(&self, method: &str, path: &str) -> u16 {
-        self.call_control(method, path, String::new()).await.status
+        self.order_with_body(method, path, String::new()).await
+    }
+
+    /// Sends a request to the control instance and returns the status.
+    pub async fn order_with_body(&self, method: &str, path: &str, body: String) -> u16 {
+        self.call_control(method, path, body).await.status
     }
 
     /// Writes an order to a new connection. Neither end of the connection is handled by this process
--- a/crates/celerycove-gateway/tests/listeners.rs
+++ b/crates/celerycove-gateway/tests/listeners.rs
@@ -385,3 +385,44 @@
         ended.expect("the listener ends").expect("no panic");
     });
 }
+
+/// Sends a request on a new connection; `None` if the connection is refused or reset.
+async fn call_once(address: SocketAddr) -> Option<Vec<u8>> {
+    let mut client = TcpStream::connect(address).await.ok()?;
+    let request = b"GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+    client.write_all(request).await.ok()?;
+    let mut reply = Vec::new();
+    client.read_to_end(&mut reply).await.ok()?;
+    Some(reply)
+}
+
+/// Guards against a stop that accepts requests for as long as connections come, and cuts the last ones
+/// when its time is over.
+#[test]
+fn a_stopping_listener_closes_while_connections_still_come() {
+    runtime().block_on(async {
+        let address = free_address();
+        let listener = http::bind(address).expect("listening");
+        let (stop, stopped) = watch::channel(false);
+        let server = tokio::spawn(http::serve(listener, Arc::new(Slow), stopped));
+        let calling = tokio::spawn(async move {
+            // Two hundred connections a second.
+            let mut calls = Vec::new();
+            for _ in 0..600 {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+                calls.push(tokio::spawn(call_once(address)));
+            }
+            let mut replies = Vec::new();
+            for call in calls {
+                replies.extend(call.await.expect("no panic"));
+            }
+            replies
+        });
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        stop.send(true).expect("a receiver");
+        let ended = tokio::time::timeout(Duration::from_millis(1_500), server).await;
+        ended.expect("the listener ends").expect("no panic");
+        let replies = calling.await.expect("no panic");
+        assert!(replies.iter().all(|reply| reply.ends_with(b"answer")));
+    });
+}
