fix(fleet): reject heartbeats that no backend server sends

Cause: heartbeats were checked for their format only. The largest start time or sequence number made all later heartbeats count as late, and an address belonged to the backend server with the latest start even if only an older one went on.

Change: `Heartbeat::check` rejects values that no backend server can have sent by now; a backend server keeps its address while the claimant with a later start is silent for 5 s; a report of a stop can't overflow the sequence number.

--- a/crates/celerycove-fleet/src/registry.rs
+++ b/crates/celerycove-fleet/src/registry.rs
@@ -12,6 +12,18 @@
 /// model causes to a message.
 const RETENTION: Duration = Duration::from_mins(2);
 
+/// A backend server loses its address to one that started earlier if that one was heard this much
+/// later: several heartbeat intervals. Only one of them can listen there.
+const ADDRESS_CLAIM: Duration = Duration::from_secs(5);
+/// The longest name of a backend server, a service or a data centre, in bytes.
+const MAX_NAME_BYTES: usize = 200;
+/// The most requests that a backend server can run concurrently.
+const MAX_SLOTS: u32 = 100_000;
+/// The longest time for which a backend server can stay cold.
+const MAX_COLD: Duration = Duration::from_hours(1);
+/// The most by which the wall clocks of a backend server and a control instance may differ.
+const MAX_CLOCK_DIFFERENCE: Duration = Duration::from_mins(10);
+
 /// The lifecycle stage that a backend server reports.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Stage {
@@ -49,6 +61,48 @@
     pub cold_remaining: Duration,
 }
 
+/// A value in a heartbeat that no backend server sends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("the {field} of a heartbeat is implausible")]
+pub struct Implausible {
+    /// What the value describes.
+    pub field: &'static str,
+}
+
+impl Heartbeat {
+    /// Checks that a backend server can have sent the heartbeat by `wall_millis`, the time of day in
+    /// milliseconds since the Unix epoch. Another writer's values could hide heartbeats that follow, or
+    /// make the server unusable to all.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first implausible value.
+    pub fn check(&self, wall_millis: u64) -> Result<(), Implausible> {
+        let tolerance = u64::try_from(MAX_CLOCK_DIFFERENCE.as_millis()).unwrap_or(u64::MAX);
+        let latest_start = wall_millis.saturating_add(tolerance);
+        // A backend server sends fewer heartbeats than milliseconds pass.
+        let max_sequence = latest_start.saturating_sub(self.started_at_ms);
+        let ip = self.address.ip();
+        let names = [&*self.backend, &*self.service, &*self.data_centre];
+        let checks = [
+            ("start time", self.started_at_ms <= latest_start),
+            ("sequence number", self.sequence <= max_sequence),
+            ("port", self.address.port() != 0),
+            ("address", !ip.is_unspecified() && !ip.is_multicast()),
+            (
+                "names",
+                names.iter().all(|name| name.len() <= MAX_NAME_BYTES),
+            ),
+            ("slots", (1..=MAX_SLOTS).contains(&self.slots)),
+            ("cold time", self.cold_remaining <= MAX_COLD),
+        ];
+        match checks.into_iter().find(|(_, is_plausible)| !is_plausible) {
+            Some((field, _)) => Err(Implausible { field }),
+            None => Ok(()),
+        }
+    }
+}
+
 /// The newest heartbeat of a backend server and its time.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Record {
@@ -81,7 +135,7 @@
     /// Merges a heartbeat that was sent `age` ago.
     pub fn merge(&mut self, now: Timestamp, age: Duration, heartbeat: Heartbeat) -> Change {
         let sent_at = now.saturating_sub(age);
-        if self.is_superseded(&heartbeat) {
+        if self.is_superseded(&heartbeat, sent_at) {
             return Change::Outdated;
         }
         let at_address = self.by_address.entry(heartbeat.address).or_default();
@@ -131,23 +185,30 @@
     pub fn mark_left(&mut self, now: Timestamp, backend: &id::Backend) -> Option<Heartbeat> {
         let known = self.by_backend.get_mut(backend)?;
         known.heartbeat.stage = Stage::Left;
-        known.heartbeat.sequence += 1;
+        known.heartbeat.sequence = known.heartbeat.sequence.saturating_add(1);
         known.sent_at = now;
         Some(known.heartbeat.clone())
     }
 
-    /// Returns whether a backend server with another id that started later has the same address.
-    fn is_superseded(&self, heartbeat: &Heartbeat) -> bool {
+    /// Returns whether a backend server with another id has the same address. That is the one that
+    /// started later, or the earlier one if it was heard more than [`ADDRESS_CLAIM`] after the other.
+    fn is_superseded(&self, heartbeat: &Heartbeat, sent_at: Timestamp) -> bool {
         let at_address = self.by_address.get(&heartbeat.address);
         let mut at_address = at_address.into_iter().flatten();
         at_address.any(|backend| {
             let Some(known) = self.by_backend.get(backend) else {
                 return false;
             };
-            known.heartbeat.address == heartbeat.address
+            let has_address = known.heartbeat.address == heartbeat.address
                 && known.heartbeat.backend != heartbeat.backend
-                && known.heartbeat.started_at_ms > heartbeat.started_at_ms
-                && known.heartbeat.stage != Stage::Left
+                && known.heartbeat.stage != Stage::Left;
+            let known_start = known.heartbeat.started_at_ms;
+            let outlasts = if known_start > heartbeat.started_at_ms {
+                sent_at <= known.sent_at + ADDRESS_CLAIM
+            } else {
+                known_start < heartbeat.started_at_ms && known.sent_at > sent_at + ADDRESS_CLAIM
+            };
+            has_address && outlasts
         })
     }
 
@@ -174,7 +235,8 @@
             .values()
             .filter(move |known| known.heartbeat.service.as_ref() == service)
             .filter(|known| {
-                known.heartbeat.stage == Stage::Ready && !self.is_superseded(&known.heartbeat)
+                known.heartbeat.stage == Stage::Ready
+                    && !self.is_superseded(&known.heartbeat, known.sent_at)
             })
             .map(move |known| (known, now.saturating_sub(known.sent_at)))
     }
--- a/crates/celerycove-fleet/tests/fleet.rs
+++ b/crates/celerycove-fleet/tests/fleet.rs
@@ -267,3 +267,101 @@
     assert_eq!(fleet.apply(&order(false, 1)), Effect::Changed);
     assert_eq!(fleet.revision(&"b".into()), 0, "another data centre");
 }
+
+/// Guards against an entry of another writer that makes a sound backend server unusable.
+#[test]
+fn heartbeats_that_no_backend_server_sends_are_implausible() {
+    const NOW: u64 = 1_765_000_000_000;
+    let sound = heartbeat("s1", NOW - 60_000, 50, Stage::Ready);
+    assert_eq!(sound.check(NOW), Ok(()));
+    let rejected = |change: &dyn Fn(&mut Heartbeat)| {
+        let mut odd = sound.clone();
+        change(&mut odd);
+        odd.check(NOW).expect_err("implausible").field
+    };
+    assert_eq!(rejected(&|odd| odd.started_at_ms = u64::MAX), "start time");
+    assert_eq!(rejected(&|odd| odd.sequence = u64::MAX), "sequence number");
+    assert_eq!(rejected(&|odd| odd.sequence = 1 << 40), "sequence number");
+    assert_eq!(rejected(&|odd| odd.address.set_port(0)), "port");
+    let unspecified = "0.0.0.0:80".parse().expect("an address");
+    assert_eq!(rejected(&|odd| odd.address = unspecified), "address");
+    let long = "z".repeat(60_000);
+    assert_eq!(
+        rejected(&|odd| odd.data_centre = long.as_str().into()),
+        "names"
+    );
+    assert_eq!(rejected(&|odd| odd.service = long.as_str().into()), "names");
+    assert_eq!(rejected(&|odd| odd.backend = long.as_str().into()), "names");
+    assert_eq!(rejected(&|odd| odd.slots = u32::MAX), "slots");
+    assert_eq!(rejected(&|odd| odd.slots = 0), "slots");
+    assert_eq!(
+        rejected(&|odd| odd.cold_remaining = Duration::MAX),
+        "cold time"
+    );
+    // Clocks differ, and a server that has just started has sent few heartbeats.
+    assert_eq!(
+        heartbeat("s1", NOW + 5_000, 1, Stage::Ready).check(NOW),
+        Ok(())
+    );
+    assert_eq!(
+        heartbeat("s1", 0, 7, Stage::Ready).check(NOW),
+        Ok(()),
+        "no start time"
+    );
+}
+
+/// Guards against an entry that claims the address of a sound backend server and never comes again.
+#[test]
+fn a_backend_server_that_goes_on_keeps_its_address() {
+    let mut registry = Registry::default();
+    let ready = |registry: &Registry, now| -> Vec<String> {
+        let ready = registry.ready(now, "app");
+        ready
+            .map(|(known, _)| known.heartbeat.backend.to_string())
+            .collect()
+    };
+    registry.merge(
+        SECOND,
+        Duration::ZERO,
+        heartbeat("sound", 5, 1, Stage::Ready),
+    );
+    registry.merge(
+        SECOND * 2,
+        Duration::ZERO,
+        heartbeat("odd", 9, 1, Stage::Ready),
+    );
+    assert_eq!(
+        ready(&registry, SECOND * 2),
+        ["odd"],
+        "it may have started there"
+    );
+    for second in 3..20 {
+        let now = SECOND * second;
+        registry.merge(
+            now,
+            Duration::ZERO,
+            heartbeat("sound", 5, second.into(), Stage::Ready),
+        );
+        let expected = if second <= 7 { "odd" } else { "sound" };
+        assert_eq!(ready(&registry, now), [expected], "after {second} s");
+    }
+    // Once the later one goes on, it has the address.
+    registry.merge(
+        SECOND * 20,
+        Duration::ZERO,
+        heartbeat("odd", 9, 2, Stage::Ready),
+    );
+    assert_eq!(ready(&registry, SECOND * 20), ["odd"]);
+}
+
+#[test]
+fn the_report_of_a_stop_after_the_largest_sequence_number_is_recorded() {
+    let mut registry = Registry::default();
+    registry.merge(
+        SECOND,
+        Duration::ZERO,
+        heartbeat("s1", 5, u64::MAX, Stage::Ready),
+    );
+    let left = registry.mark_left(SECOND, &"s1".into()).expect("known");
+    assert_eq!((left.sequence, left.stage), (u64::MAX, Stage::Left));
+}
--- a/crates/celerycove-gateway/src/control/api.rs
+++ b/crates/celerycove-gateway/src/control/api.rs
@@ -39,6 +39,8 @@
 const RETIREMENT_STATE_TIMEOUT: Duration = Duration::from_millis(900);
 /// How often an order is tried if others for the same data centre come in between.
 const MAX_ORDER_ATTEMPTS: usize = 3;
+/// The most characters of a rejected heartbeat's name that are logged.
+const MAX_LOGGED_CHARS: usize = 80;
 /// `Retry-After` for a request that finds no room for its body: longer than most commits take.
 const RETRY_AFTER_NO_ROOM_SECONDS: &str = "1";
 
@@ -107,12 +109,11 @@
     async fn execute(&self, operation: Operation, body: &bytes::Bytes) -> Response<Body> {
         match operation {
             Operation::Beat(backend) => match self.dialect.heartbeat(&backend, body) {
-                Ok(heartbeat) => self.receive_heartbeat(heartbeat).await,
-                Err(error) => {
-                    log::warn!(target: "registry", backend:% = backend, error:% = error;
-                        "could not read a heartbeat");
-                    http::text_response(StatusCode::BAD_REQUEST, error.to_string())
-                }
+                Ok(heartbeat) => match heartbeat.check(clock::wall_millis()) {
+                    Ok(()) => self.receive_heartbeat(heartbeat).await,
+                    Err(error) => reject_heartbeat(&backend, &error),
+                },
+                Err(error) => reject_heartbeat(&backend, &error),
             },
             Operation::Leave(backend) => self.leave(&backend).await,
             Operation::Configure => self.configure(body).await,
@@ -334,6 +335,13 @@
     }
 }
 
+/// Rejects a heartbeat that no backend server sends. It changes nothing that is known of the server.
+fn reject_heartbeat(backend: &str, error: &dyn std::error::Error) -> Response<Body> {
+    let logged: String = backend.chars().take(MAX_LOGGED_CHARS).collect();
+    log::warn!(target: "registry", backend = logged.as_str(), error:% = error; "rejected a heartbeat");
+    http::text_response(StatusCode::BAD_REQUEST, error.to_string())
+}
+
 fn reject_config(version: Option<id::Version>, reason: &str) -> Response<Body> {
     log::info!(target: "operate", version:? = version, reason; "configuration rejected");
     http::text_response(StatusCode::BAD_REQUEST, reason)
--- a/crates/celerycove-gateway/tests/callers.rs
+++ b/crates/celerycove-gateway/tests/callers.rs
@@ -601,3 +601,42 @@
         );
     });
 }
+
+/// Guards against an entry of another writer that hides the heartbeats of a sound backend server, or
+/// takes its address.
+#[test]
+fn an_odd_heartbeat_is_rejected_and_the_sound_ones_hold() {
+    fleet::run(async |deployment: &Deployment| {
+        let address = deployment.backend.address;
+        let largest = u64::MAX;
+        let long = "x".repeat(10_000);
+        let odd = [
+            ("/beat/b1", format!("{address} ready {largest}")),
+            ("/beat/b1", format!("{address} ready 2 {largest}")),
+            ("/beat/b1", "127.0.0.1:0 ready 2".to_owned()),
+            ("/beat/b1", "127.0.0.1:70000 ready 2".to_owned()),
+            ("/beat/other", format!("{address} ready 2 {largest}")),
+            ("/beat/other", "0.0.0.0:80 ready 2".to_owned()),
+            (&format!("/beat/{long}"), format!("{address} ready 2")),
+        ];
+        for (path, body) in odd {
+            let status = deployment.order_with_body("PUT", path, body.clone()).await;
+            assert_eq!(status, 400, "{body}");
+        }
+        deployment
+            .send_heartbeat(&deployment.spare, "draining", 2)
+            .await;
+        deployment
+            .send_heartbeat(&deployment.backend, "ready", 2)
+            .await;
+        for round in 0..10 {
+            let status = call_status(deployment, &format!("sound-{round}")).await;
+            assert_eq!(status, 200);
+        }
+        assert_eq!(deployment.backend.executed().len(), 10);
+        deployment
+            .send_heartbeat(&deployment.backend, "draining", 3)
+            .await;
+        assert_eq!(call_status(deployment, "none").await, 503, "still followed");
+    });
+}
