fix: sums of numbers from outside stay in range

A build without checks wraps: a turn near the largest number fitted any budget, and a full backend server looked idle. A build with checks ends the task.

Evidence: turn.rs, a_reservation_near_the_largest_number_..., and direct.rs, a_load_at_the_limits_..., panicked with "attempt to add with overflow" before the change and pass.

--- a/crates/celerycove-route/src/direct.rs
+++ b/crates/celerycove-route/src/direct.rs
@@ -507,11 +507,12 @@
             .load
             .filter(|(_, reported_at)| now.saturating_sub(*reported_at) < MAX_LOAD_AGE);
         let (running, waiting) = recent.map_or((0, 0), |(load, _)| {
-            (load.running + self.sent_since_load, load.waiting)
+            let running = load.running.saturating_add(self.sent_since_load);
+            (running, load.waiting)
         });
         let running = self.in_flight.max(running);
         let excess = running.saturating_sub(slots);
-        (running.min(slots), waiting + excess)
+        (running.min(slots), waiting.saturating_add(excess))
     }
 
     /// Returns the expected delay until the first token, beyond that of an idle local engine with
--- a/crates/celerycove-route/tests/direct.rs
+++ b/crates/celerycove-route/tests/direct.rs
@@ -350,3 +350,26 @@
     let choice = servers.select(NOW, "llm", &request).expect("a server");
     assert_eq!(choice.cached_tokens, 0);
 }
+
+/// Guards against numbers near their limits in a load that a backend server reports.
+#[test]
+fn a_load_at_the_limits_of_its_range_is_the_largest_load() {
+    let mut servers = servers("a", &[("full", "a"), ("free", "a")]);
+    let load = Load {
+        running: u32::MAX,
+        waiting: u32::MAX,
+    };
+    servers.record_load(NOW, "llm", "full", load);
+    for _ in 0..3 {
+        let selection = servers.select(NOW, "llm", &Request::default());
+        assert_eq!(&*selection.expect("a backend server").backend, "free");
+    }
+    let only_full = Request {
+        excluded: &["free".into()],
+        ..Request::default()
+    };
+    for _ in 0..3 {
+        let selection = servers.select(NOW, "llm", &only_full);
+        assert_eq!(&*selection.expect("the other one").backend, "full");
+    }
+}
--- a/crates/celerycove-turn/src/account.rs
+++ b/crates/celerycove-turn/src/account.rs
@@ -25,7 +25,8 @@
 
 impl Account {
     pub(crate) fn total_reserved(&self) -> id::Tokens {
-        self.reserved.values().sum()
+        let reserved = self.reserved.values();
+        reserved.fold(0, |sum, tokens| sum.saturating_add(*tokens))
     }
 
     /// Reserves the maximum that a turn may generate; returns `false` if it exceeds the budget.
@@ -40,7 +41,8 @@
         if self.reserved.contains_key(request) || self.ended.contains(request) {
             return true;
         }
-        let fits = self.spent + self.total_reserved() + max_tokens <= budget;
+        let used = self.spent.saturating_add(self.total_reserved());
+        let fits = used.saturating_add(max_tokens) <= budget;
         if fits {
             self.reserved.insert(request.clone(), max_tokens);
         }
@@ -53,7 +55,7 @@
     /// remembered in that case too, so that the `Begin` reserves nothing when it arrives.
     pub(crate) fn settle(&mut self, request: &id::Request, spent: id::Tokens) {
         if self.reserved.remove(request).is_some() {
-            self.spent += spent;
+            self.spent = self.spent.saturating_add(spent);
         }
         if self.ended.contains(request) {
             return;
--- a/crates/celerycove-turn/tests/turn.rs
+++ b/crates/celerycove-turn/tests/turn.rs
@@ -177,3 +177,17 @@
         spent + outstanding <= 100
     }
 }
+
+/// Guards against sums of token counts that leave their range: the next turn would fit any budget.
+#[test]
+fn a_reservation_near_the_largest_number_leaves_no_budget() {
+    let mut turns = Turns::default();
+    turns.apply(&begin(0, "a", None, 60));
+    for (request, max_tokens) in [("b", u64::MAX), ("c", u64::MAX - 59)] {
+        let refused = Outcome::OverBudget {
+            spent: 0,
+            reserved: 60,
+        };
+        assert_eq!(turns.apply(&begin(0, request, None, max_tokens)), refused);
+    }
+}
