feat(gateway): send nothing to backend servers that say they leave

From the first such answer on an entry sends it no request, also none that waited, is retried or resumed, whatever heartbeats, updates or configurations say; another incarnation under its name or address starts clean. Other entries of the data centre are told with the evidence on failures; nothing depends on that. If no other backend server is left, requests are refused at once as not run. A 421 is not taken for the word of the server that was meant.

Result: callers.rs, a_backend_server_that_says_..., for a whole answer, an error, a refusal, a resumable stream and a kept turn, with heartbeats that go on saying ready; direct.rs without network.

--- a/crates/celerycove-gateway/src/dialect.rs
+++ b/crates/celerycove-gateway/src/dialect.rs
@@ -70,6 +70,8 @@
     pub request_id: Option<id::Request>,
     /// Whether the backend server states that it has not executed the request.
     pub declined: bool,
+    /// Whether the backend server states that it leaves and should get no further requests.
+    pub leaving: bool,
     /// The numbers of running and waiting requests at the backend server.
     pub load: Option<Load>,
     /// How long the backend server keeps an idle connection open.
--- a/crates/celerycove-gateway/src/entry/exchange.rs
+++ b/crates/celerycove-gateway/src/entry/exchange.rs
@@ -344,6 +344,10 @@
     ) -> AttemptOutcome {
         let metadata = self.entry.dialect.response_metadata(&head);
         let misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
+        // A misdirected request was answered by another backend server than the chosen one.
+        if metadata.leaving && !misdirected {
+            self.record_departure(&choice);
+        }
         if metadata.declined || misdirected {
             lock(&self.entry.servers).record_outcome(
                 clock::now(),
@@ -382,6 +386,15 @@
         }))
     }
 
+    /// Notes that a backend server has said that it leaves.
+    fn record_departure(&self, choice: &Selection) {
+        let mut servers = lock(&self.entry.servers);
+        if servers.record_departure(clock::now(), &choice.backend, choice.incarnation) {
+            log::info!(target: "route", request:% = self.request, backend:% = choice.backend,
+                born = choice.incarnation; "a backend server has said that it leaves");
+        }
+    }
+
     fn build_request(
         &self,
         choice: &Selection,
--- a/crates/celerycove-gateway/tests/callers.rs
+++ b/crates/celerycove-gateway/tests/callers.rs
@@ -640,3 +640,47 @@
         assert_eq!(call_status(deployment, "none").await, 503, "still followed");
     });
 }
+
+/// Guards against requests to a backend server that has said in any of its responses that it leaves,
+/// though its heartbeats still call it ready.
+#[test]
+fn a_backend_server_that_says_that_it_leaves_gets_no_further_requests() {
+    for (failure, path) in [
+        (Failure::Leave(200), "/plain/x"),
+        (Failure::Leave(500), "/once/x"),
+        (Failure::Leave(503), "/once/x"),
+        (Failure::Leave(200), "/resumable/x"),
+        (Failure::Leave(200), "/kept/x"),
+    ] {
+        fleet::run(async |deployment: &Deployment| {
+            deployment.set_failures([failure]);
+            deployment.call("first", path, Some("key-1")).await;
+            deployment.backend.clear_executed();
+            deployment.spare.clear_executed();
+            deployment
+                .send_heartbeat(&deployment.backend, "ready", 5)
+                .await;
+            for round in 0..6 {
+                let status = call_status(deployment, &format!("next-{round}")).await;
+                assert_eq!(status, 200);
+            }
+            assert_eq!(deployment.backend.executed().len(), 0, "{failure:?} {path}");
+            assert_eq!(deployment.spare.executed().len(), 6);
+
+            // The other one leaves as well: refused at once, with a time to come back.
+            deployment.set_failures([Failure::Leave(200)]);
+            assert_eq!(call_status(deployment, "last").await, 200);
+            let refused = deployment.call("none", "/plain/x", Some("key-1")).await;
+            assert_eq!(refused.status, 503);
+            assert!(refused.retry_after.is_some());
+
+            // Started again under its name, it starts clean.
+            let again = format!("{} ready 1 2", deployment.backend.address);
+            assert_eq!(
+                deployment.order_with_body("PUT", "/beat/b1", again).await,
+                200
+            );
+            assert_eq!(call_status(deployment, "again").await, 200);
+        });
+    }
+}
--- a/crates/celerycove-gateway/tests/callers/backend.rs
+++ b/crates/celerycove-gateway/tests/callers/backend.rs
@@ -46,6 +46,9 @@
     LongEvent,
     /// Sends interim responses until the connection is closed.
     EndlessInterim,
+    /// Responds with this status and says that it leaves; with 503 it states that it does not execute the
+    /// request.
+    Leave(u16),
     /// Sends a whole response and, some time later, a second copy of it.
     SecondCopy,
 }
@@ -228,6 +231,11 @@
             let declined = "HTTP/1.1 503 No\r\ndeclined: 1\r\ncontent-length: 0\r\n\r\n";
             (declined.to_owned(), true)
         }
+        Some(Failure::Leave(status)) => {
+            let declined = if status == 503 { "declined: 1\r\n" } else { "" };
+            let leaving = format!("HTTP/1.1 {status} Status\r\nleaving: 1\r\n{declined}");
+            (response.replace("HTTP/1.1 200 OK\r\n", &leaving), true)
+        }
         Some(Failure::EndlessBody) => {
             let head = format!("HTTP/1.1 200 OK\r\nid: {id}\r\n\r\n");
             stream.write_all(head.as_bytes()).await.ok()?;
@@ -251,8 +259,12 @@
     request: &Request,
     failure: Option<Failure>,
 ) -> Option<()> {
+    let leaving = match failure {
+        Some(Failure::Leave(_)) => "leaving: 1\r\n",
+        _ => "",
+    };
     let head = format!(
-        "HTTP/1.1 200 OK\r\nid: {}\r\ncontent-type: text/event-stream\r\n\
+        "HTTP/1.1 200 OK\r\nid: {}\r\ncontent-type: text/event-stream\r\n{leaving}\
          transfer-encoding: chunked\r\n\r\n",
         request.id
     );
--- a/crates/celerycove-gateway/tests/callers/dialect.rs
+++ b/crates/celerycove-gateway/tests/callers/dialect.rs
@@ -64,6 +64,7 @@
         ResponseMetadata {
             request_id: text(&head.headers, "id").map(Into::into),
             declined: head.headers.contains_key("declined"),
+            leaving: head.headers.contains_key("leaving"),
             ..ResponseMetadata::default()
         }
     }
--- a/crates/celerycove-route/src/direct.rs
+++ b/crates/celerycove-route/src/direct.rs
@@ -7,6 +7,7 @@
 //! at once before they hear of each other's.
 
 pub mod demand;
+mod departure;
 mod order;
 mod shared;
 
@@ -17,6 +18,7 @@
 
 use self::{
     demand::{Counts, Demand},
+    departure::Departures,
     order::{Choices, choices, name_hash},
     shared::SharedParts,
 };
@@ -122,6 +124,9 @@
     pub born: id::Incarnation,
     /// Outcomes of its requests.
     pub tally: Tally,
+    /// Whether it has said that it leaves.
+    #[serde(default)]
+    pub is_leaving: bool,
 }
 
 /// State of one backend server at this entry.
@@ -151,6 +156,10 @@
     prefix_cache: Cache,
     /// Outcomes since they were last sent to the other entries.
     tally: Tally,
+    /// Whether it has said that it leaves, so that it gets no requests any more.
+    is_leaving: bool,
+    /// Whether the other entries have been told that it leaves.
+    is_departure_told: bool,
 }
 
 /// A request to place on a backend server.
@@ -192,6 +201,8 @@
     /// Requests of other entries.
     demand: Demand,
     shared_parts: SharedParts,
+    /// The backend servers that have said that they leave.
+    departures: Departures,
 }
 
 impl Servers {
@@ -214,13 +225,15 @@
             .map(|server| (key(&server.registration), server))
             .collect();
         for registration in registrations {
-            let server = match previous.remove(&key(&registration)) {
+            let is_leaving = self.departures.contains(&key(&registration));
+            let mut server = match previous.remove(&key(&registration)) {
                 Some(server) => Server {
                     registration,
                     ..server
                 },
                 None => Server::new(now, registration),
             };
+            server.is_leaving |= is_leaving;
             servers.push(server);
         }
         servers.sort_by(|a, b| a.registration.backend.cmp(&b.registration.backend));
@@ -246,6 +259,24 @@
         }
     }
 
+    /// Records that an incarnation of a backend server has said that it leaves: it gets no requests
+    /// from now on, even if it is registered again. Returns whether that is new.
+    pub fn record_departure(
+        &mut self,
+        now: Timestamp,
+        backend: &id::Backend,
+        incarnation: id::Incarnation,
+    ) -> bool {
+        let is_new = self.departures.insert(now, backend.clone(), incarnation);
+        let servers = self.services.values_mut().flatten();
+        let leaving = servers.filter(|server| {
+            server.registration.backend == *backend
+                && server.registration.incarnation == incarnation
+        });
+        leaving.for_each(|server| server.is_leaving = true);
+        is_new
+    }
+
     /// Removes the services for which `keep` returns false.
     pub fn retain(&mut self, keep: impl Fn(&str) -> bool) {
         self.services.retain(|service, _| keep(service));
@@ -346,25 +377,33 @@
         self.demand.merge(now, data_centre, total);
     }
 
-    /// Returns the outcomes since the last call, for the backend servers that failed requests.
+    /// Returns the outcomes since the last call, for the backend servers that failed requests or have
+    /// said meanwhile that they leave.
     pub fn take_reports(&mut self) -> Vec<Report> {
         let services = self.services.iter_mut();
         let servers = services
             .flat_map(|(service, servers)| servers.iter_mut().map(move |server| (service, server)));
         servers
-            .map(|(service, server)| (service, std::mem::take(&mut server.tally), server))
-            .filter(|(_, tally, _)| tally.failed > 0)
-            .map(|(service, tally, server)| Report {
-                service: service.clone(),
-                backend: server.registration.backend.clone(),
-                born: server.registration.incarnation,
-                tally,
+            .filter_map(|(service, server)| {
+                let tally = std::mem::take(&mut server.tally);
+                let was_told = std::mem::replace(&mut server.is_departure_told, server.is_leaving);
+                let is_news = tally.failed > 0 || (server.is_leaving && !was_told);
+                is_news.then(|| Report {
+                    service: service.clone(),
+                    backend: server.registration.backend.clone(),
+                    born: server.registration.incarnation,
+                    tally,
+                    is_leaving: server.is_leaving,
+                })
             })
             .collect()
     }
 
-    /// Merges outcomes seen by another entry of the same data centre.
+    /// Merges what another entry of the same data centre has seen of a backend server.
     pub fn merge_report(&mut self, now: Timestamp, report: &Report) {
+        if report.is_leaving {
+            self.record_departure(now, &report.backend, report.born);
+        }
         let server = self.find(&report.service, &report.backend);
         if let Some(server) = server.filter(|server| server.registration.incarnation == report.born)
         {
@@ -415,11 +454,16 @@
             cold_refilled_at: now,
             prefix_cache: Cache::default(),
             tally: Tally::default(),
+            is_leaving: false,
+            is_departure_told: false,
         }
     }
 
-    /// Returns whether the cold-start limit admits another request.
+    /// Returns whether it goes on serving, and its cold-start limit admits another request.
     fn accepts_request(&mut self, now: Timestamp) -> bool {
+        if self.is_leaving {
+            return false;
+        }
         if now >= self.registration.cold_until {
             return true;
         }
--- a/crates/celerycove-route/tests/direct.rs
+++ b/crates/celerycove-route/tests/direct.rs
@@ -245,6 +245,7 @@
                     answered: 12,
                     failed: 1,
                 },
+                is_leaving: false,
             },
         );
     }
@@ -283,6 +284,7 @@
                 answered: 0,
                 failed: 9,
             },
+            is_leaving: false,
         },
     );
     assert_eq!(format!("{entry:?}"), format!("{before:?}"));
@@ -373,3 +375,63 @@
         assert_eq!(&*selection.expect("the other one").backend, "full");
     }
 }
+
+/// Guards against requests to a backend server that has said in a response that it leaves.
+#[test]
+fn a_backend_server_that_leaves_gets_no_requests_until_it_starts_again() {
+    let service = Arc::from("llm");
+    let mut servers = servers("a", &[("leaving", "a"), ("staying", "b")]);
+    let registered = |incarnation| Registration {
+        incarnation,
+        ..registration("leaving", "a")
+    };
+    let selected = |servers: &mut Servers, at: Timestamp| {
+        let selections = (0..4).map(|affinity| {
+            let request = Request {
+                affinity,
+                ..Request::default()
+            };
+            servers.select(at, "llm", &request)
+        });
+        let names = selections.map(|selection| selection.expect("one stays").backend.to_string());
+        names.collect::<std::collections::BTreeSet<_>>()
+    };
+    assert!(servers.record_departure(NOW, &"leaving".into(), 1));
+    assert!(
+        !servers.record_departure(NOW, &"leaving".into(), 1),
+        "known"
+    );
+    let staying = ["staying".to_owned()].into();
+    assert_eq!(selected(&mut servers, NOW), staying);
+    // It stays out however late, though heartbeats still call it ready, and if the fleet's state has left
+    // it out for a while.
+    let later = NOW + Duration::from_mins(30);
+    let both = vec![registered(1), registration("staying", "b")];
+    servers.update(later, &service, both.clone());
+    assert_eq!(selected(&mut servers, later), staying);
+    servers.update(later, &service, vec![registration("staying", "b")]);
+    servers.update(later, &service, both);
+    assert_eq!(selected(&mut servers, later), staying);
+    // Another incarnation starts clean.
+    servers.update(
+        later,
+        &service,
+        vec![registered(2), registration("staying", "b")],
+    );
+    assert!(selected(&mut servers, later).contains("leaving"));
+}
+
+#[test]
+fn other_entries_are_told_once_that_a_backend_server_leaves() {
+    let mut first = servers("a", &[("leaving", "a"), ("staying", "a")]);
+    let mut second = first.clone();
+    first.record_departure(NOW, &"leaving".into(), 1);
+    let reports = first.take_reports();
+    assert_eq!(reports.len(), 1);
+    assert!(first.take_reports().is_empty());
+    second.merge_report(NOW, &reports[0]);
+    for _ in 0..4 {
+        let selection = second.select(NOW, "llm", &Request::default());
+        assert_eq!(&*selection.expect("one stays").backend, "staying");
+    }
+}
