fix(gateway): judge responses that end with their connection by their content

A response may have neither a length nor chunks. A plain one was handled: whole at the end of its connection, broken off after a reset. A stream that ended between events, with a comment line after the last one, was taken for broken off: its turn was not kept, and its caller saw a failure. And a connection whose end had just been read could be put back for the next request.

Change: at the end of a stream whole comment lines and line breaks are passed on and count as between events; whatever else is left is part of an event. A connection is kept only after a response with a length or chunks.

--- a/crates/celerycove-gateway/src/entry/events.rs
+++ b/crates/celerycove-gateway/src/entry/events.rs
@@ -130,9 +130,18 @@
         self.held.adjust(self.buffer.len())
     }
 
-    /// Returns whether no part of an event is left in the buffer.
-    pub(super) fn is_empty(&self) -> bool {
-        self.buffer.is_empty()
+    /// Returns what is left at the end of a stream if that is no part of an event: only whole comment
+    /// lines and line breaks may follow the last event. `None` if the stream ended inside an event.
+    pub(super) fn into_rest(self) -> Option<Bytes> {
+        let is_between_events = self
+            .buffer
+            .split_inclusive(|byte| *byte == b'\n')
+            .all(|line| {
+                let content = line.strip_suffix(b"\n");
+                let content = content.map(|line| line.strip_suffix(b"\r").unwrap_or(line));
+                content.is_some_and(|line| line.is_empty() || line.starts_with(b":"))
+            });
+        is_between_events.then(|| self.buffer.freeze())
     }
 
     /// Returns the offset after the empty line that ends the first event; accepts LF and CRLF line
--- a/crates/celerycove-gateway/src/entry/events_tests.rs
+++ b/crates/celerycove-gateway/src/entry/events_tests.rs
@@ -10,6 +10,7 @@
     Account::new(Budget::new(88_000_000, Role::Entry).expect("a budget"))
 }
 
+/// Returns the events, and whether the stream ended between two.
 fn split_chunks(chunks: &[&[u8]]) -> (Vec<Event>, bool) {
     let mut splitter = Splitter::new(&account());
     let mut events = Vec::new();
@@ -19,7 +20,7 @@
             events.push(event);
         }
     }
-    (events, splitter.is_empty())
+    (events, splitter.into_rest().is_some())
 }
 
 #[test]
--- a/crates/celerycove-gateway/src/entry/exchange.rs
+++ b/crates/celerycove-gateway/src/entry/exchange.rs
@@ -212,10 +212,7 @@
     /// Records that a backend server answered completely. An answer that ends with its connection
     /// may have been cut short by a crash.
     pub(super) fn record_whole_answer(&mut self, head: &Parts) {
-        let headers = &head.headers;
-        let is_delimited = headers.contains_key(header::CONTENT_LENGTH)
-            || headers.contains_key(header::TRANSFER_ENCODING);
-        if self.entry.crashes.is_active() && is_delimited {
+        if self.entry.crashes.is_active() && is_delimited(head) {
             let digests = self.digests();
             self.entry.vindicate(&self.request, &digests);
         }
@@ -560,13 +557,25 @@
     Ok(Bytes::from_owner(Counted { bytes, _room: room }))
 }
 
+/// Returns whether a length or chunks mark the end of a response. Others end with their connection.
+fn is_delimited(head: &Parts) -> bool {
+    let has_no_body = matches!(
+        head.status,
+        StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
+    );
+    has_no_body
+        || head.headers.contains_key(header::CONTENT_LENGTH)
+        || head.headers.contains_key(header::TRANSFER_ENCODING)
+}
+
 /// Returns whether the connection stays open after a response.
 pub(super) fn keeps_alive(head: &Parts) -> bool {
     let mut options = head.headers.get_all(header::CONNECTION).iter();
-    !options.any(|value| {
+    let is_closed = options.any(|value| {
         let value = value.to_str().unwrap_or("close");
         value.to_ascii_lowercase().contains("close")
-    })
+    });
+    !is_closed && is_delimited(head)
 }
 
 /// Reports an attempt to the backend selection as abandoned if it is dropped in flight, because the
--- a/crates/celerycove-gateway/src/entry/relay.rs
+++ b/crates/celerycove-gateway/src/entry/relay.rs
@@ -181,8 +181,14 @@
             };
             match frame {
                 Err(_) => {}
-                Ok(None) if splitter.is_empty() => break Stop::Whole,
-                Ok(None) => break Stop::Broken(CUT_EVENT),
+                Ok(None) => match splitter.into_rest() {
+                    Some(rest) if rest.is_empty() => break Stop::Whole,
+                    Some(rest) => match self.send(rest, sender).await {
+                        Ok(()) => break Stop::Whole,
+                        Err(stop) => break stop,
+                    },
+                    None => break Stop::Broken(CUT_EVENT),
+                },
                 Ok(Some(Err(_))) => break Stop::Broken(CONNECTION_LOST),
                 Ok(Some(Ok(frame))) => {
                     let Some(data) = frame.data_ref() else {
@@ -309,10 +315,14 @@
             let took = now.saturating_sub(self.dispatch.started);
             self.dispatch.entry.metrics.record_first_byte(took);
         }
-        // A caller that no longer reads would otherwise keep the stream open.
+        self.send(out.freeze(), sender).await
+    }
+
+    /// Sends data to the caller, until its deadline: a caller that no longer reads would keep the stream
+    /// open.
+    async fn send(&self, data: Bytes, sender: &outbox::Sender) -> Result<(), Stop> {
         let left = self.dispatch.caller_deadline.saturating_sub(clock::now());
-        let sent = sender.send(out.freeze());
-        match tokio::time::timeout(left, sent).await {
+        match tokio::time::timeout(left, sender.send(data)).await {
             Ok(sent) => sent.map_err(|_| Stop::CallerLeft),
             Err(_) => Err(Stop::TimedOut),
         }
--- a/crates/celerycove-gateway/tests/callers.rs
+++ b/crates/celerycove-gateway/tests/callers.rs
@@ -684,3 +684,75 @@
         });
     }
 }
+
+/// Guards against an answer that ends with its connection being taken for broken off, and against one
+/// that is reset being taken for whole.
+#[test]
+fn a_plain_response_may_end_with_its_connection() {
+    fleet::run(async |deployment: &Deployment| {
+        deployment.set_failures([Failure::Unframed("whole")]);
+        let reply = deployment.call("r1", "/once/x", Some("key-1")).await;
+        assert_eq!((reply.status, &reply.body[..]), (200, &b"whole"[..]));
+        assert!(reply.complete);
+        // The connection isn't used again.
+        assert_eq!(call_status(deployment, "r2").await, 200);
+
+        deployment.set_failures([Failure::ResetUnframed("part")]);
+        let reply = deployment.call("r3", "/once/x", Some("key-1")).await;
+        assert!(reply.status == 502 || !reply.complete, "{}", reply.status);
+        deployment.set_failures([Failure::ResetUnframed("part")]);
+        let reply = deployment.call("r4", "/plain/x", Some("key-1")).await;
+        assert_eq!((reply.status, &reply.body[..]), (200, &b"answer"[..]));
+    });
+}
+
+/// Guards against a stream that is broken off being taken for whole, and the reverse, where neither a
+/// length nor chunks mark its end.
+#[test]
+fn a_stream_that_ends_with_its_connection_is_whole_unless_it_ends_inside_an_event() {
+    const ENDS: [(&str, bool); 9] = [
+        ("id: 1\ndata: one\n\n", true),
+        ("id: 1\r\ndata: one\r\n\r\n", true),
+        ("id: 1\ndata: one\n\n: the end\n", true),
+        ("id: 1\ndata: one\n\n:\r\n", true),
+        ("id: 1\ndata: one\n\nid: 2\nda", false),
+        ("id: 1\ndata: one\n\nid: 2\ndata: two\n", false),
+        ("id: 1\r\ndata: one\r\n\r\nid: 2\r\ndata: two\r\n\r", false),
+        ("id: 1\ndata: one\n\n: the en", false),
+        ("id: 1\ndata: one\n\n: a comment\ndata: two\n", false),
+    ];
+    fleet::run(async |deployment: &Deployment| {
+        for (number, (body, is_whole)) in ENDS.into_iter().enumerate() {
+            // A turn, which may not be repeated: kept only if it is whole.
+            deployment.set_failures([Failure::Unframed(body)]);
+            let turn = format!("turn-{number}");
+            let reply = deployment.turn(&turn, None, "in", Some(1_000)).await;
+            assert_eq!(reply.complete, is_whole, "{body:?}");
+            if is_whole {
+                assert_eq!(reply.body, body.as_bytes());
+            }
+            let next = format!("next-{number}");
+            let next = deployment
+                .turn(&next, Some(&turn), "go on", Some(1_000))
+                .await;
+            assert_eq!(next.status, if is_whole { 200 } else { 404 }, "{body:?}");
+
+            // A resumable stream goes on at the other backend server.
+            if !is_whole {
+                deployment.set_failures([Failure::Unframed(body)]);
+                let id = format!("resumed-{number}");
+                let reply = deployment.stream(&id, "/resumable/x").await;
+                assert!(reply.complete, "{body:?}");
+                let ids: Vec<_> = reply.events();
+                assert_eq!(ids.last().map(String::as_str), Some("3:three"), "{body:?}");
+            }
+        }
+        // With no other backend server it ends as broken off.
+        deployment
+            .send_heartbeat(&deployment.spare, "draining", 2)
+            .await;
+        deployment.set_failures([Failure::Unframed("id: 1\ndata: one\n\nid: 2")]);
+        let reply = deployment.stream("alone", "/resumable/x").await;
+        assert!(!reply.complete);
+    });
+}
--- a/crates/celerycove-gateway/tests/callers/backend.rs
+++ b/crates/celerycove-gateway/tests/callers/backend.rs
@@ -49,6 +49,10 @@
     /// Responds with this status and says that it leaves; with 503 it states that it does not execute the
     /// request.
     Leave(u16),
+    /// Sends this body without a length or chunks, and closes the connection.
+    Unframed(&'static str),
+    /// Sends this body without a length or chunks, and resets the connection.
+    ResetUnframed(&'static str),
     /// Sends a whole response and, some time later, a second copy of it.
     SecondCopy,
 }
@@ -80,6 +84,8 @@
 
 /// How long after a response its second copy is sent.
 const SECOND_COPY_DELAY: Duration = Duration::from_millis(100);
+/// How long after a body its connection is reset.
+const RESET_DELAY: Duration = Duration::from_millis(50);
 /// The pause between two bytes of a stream that makes no progress.
 const TRICKLE_INTERVAL: Duration = Duration::from_millis(100);
 const EVENTS: [&str; 3] = [
@@ -189,6 +195,25 @@
             let _ = stream.read(&mut byte).await;
             return;
         }
+        if let Some(Failure::Unframed(body) | Failure::ResetUnframed(body)) = failure {
+            let kind = if request.path.starts_with("/plain") || request.path.starts_with("/once") {
+                "text/plain"
+            } else {
+                "text/event-stream"
+            };
+            let id = &request.id;
+            let head = format!("HTTP/1.1 200 OK\r\nid: {id}\r\ncontent-type: {kind}\r\n\r\n");
+            let response = head + body;
+            // The entry may have closed the connection.
+            let _ = stream.write_all(response.as_bytes()).await;
+            if matches!(failure, Some(Failure::ResetUnframed(_))) {
+                // The entry reads what was sent first.
+                tokio::time::sleep(RESET_DELAY).await;
+                let socket = socket2::SockRef::from(&stream);
+                socket.set_linger(Some(Duration::ZERO)).expect("a socket");
+            }
+            return;
+        }
         if failure == Some(Failure::EndlessInterim) {
             send_without_end(&mut stream, "HTTP/1.1 100 Continue\r\n\r\n").await;
             return;
