fix(gateway): entries don't forget processes in a quiet period

Cause: entries were sent the list of processes only when it changed, and forgot each process two minutes after it was last named.

Change: the leader sends entries the list every 30 s, and a process is removed only if this process was told of others two minutes after it was last told of that one; the time that passes alone removes nothing.

--- a/crates/celerycove-gateway/src/broadcast.rs
+++ b/crates/celerycove-gateway/src/broadcast.rs
@@ -40,8 +40,9 @@
 
 /// Lines a second about changes of backend servers that other processes told.
 const RELAYED_CHANGE_LINES: u32 = 10;
-/// A process from which nothing was heard for this long is removed from the known peers.
-const PEER_EXPIRY: Duration = Duration::from_mins(2);
+/// A process from which nothing was heard for this long, while others were, is removed from the known
+/// peers.
+pub(crate) const PEER_EXPIRY: Duration = Duration::from_mins(2);
 
 /// A known process and when it was last heard from.
 #[derive(Debug, Clone)]
@@ -56,6 +57,8 @@
     view: ArcSwapOption<View>,
     registry: Mutex<Registry>,
     peers: Mutex<BTreeMap<id::Process, KnownPeer>>,
+    /// When this process last learned which processes run. Nothing is known to be gone since then.
+    informed_at: Mutex<Timestamp>,
     leader: Mutex<Option<id::Process>>,
     lag: Mutex<Lag>,
     change_lines: Mutex<LineLimit>,
@@ -78,7 +81,11 @@
     /// Merges an update from a control instance. The first state is accepted only from an instance
     /// in contact with a majority: any other may have missed any number of changes.
     pub fn merge(&self, update: Update) -> Changes {
-        let now = clock::now();
+        self.merge_at(clock::now(), update)
+    }
+
+    /// Merges an update like [`merge`](Self::merge) that is received at the given time.
+    pub fn merge_at(&self, now: Timestamp, update: Update) -> Changes {
         let mut changes = Changes::default();
         if let Some(view) = update.view {
             changes.view = self.merge_view(view, update.has_quorum);
@@ -92,8 +99,11 @@
                 Change::Outdated => {}
             }
         }
-        for status in update.peers.into_iter().flatten() {
-            self.merge_peer(now, status);
+        if let Some(peers) = update.peers {
+            for status in peers {
+                self.merge_peer(now, status);
+            }
+            self.set_informed(now);
         }
         if update.has_quorum && update.leader.is_some() {
             *lock(&self.leader) = update.leader;
@@ -185,6 +195,11 @@
         }
     }
 
+    /// Records that this process has just learned which processes run.
+    pub fn set_informed(&self, now: Timestamp) {
+        *lock(&self.informed_at) = now;
+    }
+
     /// Records that a process, possibly unknown so far, was heard from just now.
     pub fn add_peer(&self, peer: &Peer) {
         let status = PeerStatus {
@@ -204,9 +219,15 @@
     /// The known processes of a role, each with the time since it was last heard from.
     #[must_use]
     pub fn peers(&self, role: Role) -> Vec<PeerStatus> {
-        let now = clock::now();
+        self.peers_at(clock::now(), role)
+    }
+
+    /// The known processes of a role at the given time.
+    #[must_use]
+    pub fn peers_at(&self, now: Timestamp, role: Role) -> Vec<PeerStatus> {
+        let informed_at = *lock(&self.informed_at);
         let mut peers = lock(&self.peers);
-        peers.retain(|_, known| now.saturating_sub(known.heard_at) < PEER_EXPIRY);
+        peers.retain(|_, known| informed_at.saturating_sub(known.heard_at) < PEER_EXPIRY);
         let of_role = peers.values().filter(|known| known.peer.role == role);
         of_role
             .map(|known| PeerStatus {
--- a/crates/celerycove-gateway/src/control/maintenance.rs
+++ b/crates/celerycove-gateway/src/control/maintenance.rs
@@ -15,6 +15,7 @@
 
 use super::{Control, DIGEST_INTERVAL};
 use crate::{
+    broadcast::PEER_EXPIRY,
     clock,
     link::lock,
     message::{Frame, Peer, PeerStatus, RelayedHeartbeat, Reply},
@@ -29,6 +30,9 @@
 pub(super) const BOOTSTRAP_WAIT: Duration = Duration::from_millis(1_500);
 /// An entry that was silent for this long is removed, and rate limits are no longer shared with it.
 const ENTRY_EXPIRY: Duration = Duration::from_mins(1);
+/// How often entries are sent the known processes though none has changed; several times within the
+/// time after which they forget a process that is not named any more.
+const ENTRY_LIST_INTERVAL: Duration = Duration::from_secs(PEER_EXPIRY.as_secs() / 4);
 /// A new leader changes no members for this long, until it has heard from the other instances.
 const MEMBERSHIP_DELAY: Duration = Duration::from_secs(2);
 
@@ -43,6 +47,8 @@
     had_quorum: bool,
     /// The processes named in the last published list.
     published_peers: BTreeSet<id::Process>,
+    /// When the list was last published to entries.
+    entries_told_at: Timestamp,
 }
 
 impl Control {
@@ -59,6 +65,8 @@
             for peer in self.broadcaster.connected_peers() {
                 self.fleet_state.add_peer(&peer);
             }
+            // Other processes connect to each control instance.
+            self.fleet_state.set_informed(now);
             self.publish_on_quorum_change();
             self.publish_demand(now);
             self.publish_changes(std::mem::take(&mut *lock(&self.relayed_changes)));
@@ -120,13 +128,14 @@
         }
         self.broadcaster
             .publish_to(update, |peer| peer.role != Role::Store);
-        self.publish_peers();
+        self.publish_peers(now);
     }
 
     /// Publishes the known processes: to all subscribers if the set has changed, and otherwise only
-    /// from the leader to stores and control instances. How long each process has been silent
-    /// matters only to those that change members of a log, and one sender is enough for them.
-    fn publish_peers(&self) {
+    /// from the leader. How long each process has been silent matters only to those that change
+    /// members of a log, and one sender is enough for them; entries are sent the list often enough that
+    /// they forget no process that runs.
+    fn publish_peers(&self, now: Timestamp) {
         let mut update = self.empty_update();
         let peers = self.known_peers();
         let names: BTreeSet<_> = peers
@@ -134,15 +143,19 @@
             .map(|status| status.peer.process.clone())
             .collect();
         update.peers = Some(peers);
-        let changed = {
+        let (changed, entries_due) = {
             let mut state = lock(&self.maintenance);
             let changed = state.published_peers != names;
             state.published_peers = names;
-            changed
+            let entries_due = changed || now >= state.entries_told_at + ENTRY_LIST_INTERVAL;
+            if entries_due {
+                state.entries_told_at = now;
+            }
+            (changed, entries_due)
         };
         let is_leader = self.leader_term().is_some();
         self.broadcaster.publish_to(update, |peer| {
-            changed || (is_leader && peer.role != Role::Entry)
+            changed || (is_leader && (entries_due || peer.role != Role::Entry))
         });
     }
 
--- a/crates/celerycove-gateway/tests/spread.rs
+++ b/crates/celerycove-gateway/tests/spread.rs
@@ -5,7 +5,8 @@
 use celerycove_fleet::{Change, Command, Fleet};
 use celerycove_gateway::{
     broadcast::FleetState,
-    message::{Update, View, ViewUpdate},
+    message::{Peer, PeerStatus, Update, View, ViewUpdate},
+    setup::Role,
 };
 
 /// The states of a log whose entries each evacuate one more data centre.
@@ -96,3 +97,68 @@
     std::thread::sleep(Duration::from_millis(200));
     assert!(!state.merge(update(3, None)).request_view);
 }
+
+fn store(number: u32, silent: Duration) -> PeerStatus {
+    PeerStatus {
+        peer: Peer {
+            process: format!("10.0.0.{number}:7782").as_str().into(),
+            role: Role::Store,
+            instance: format!("store-{number}").into(),
+            data_centre: "a".into(),
+            has_disk: true,
+            may_bootstrap: false,
+        },
+        silent,
+    }
+}
+
+fn list(stores: Vec<PeerStatus>) -> Update {
+    Update {
+        peers: Some(stores),
+        ..update(1, None)
+    }
+}
+
+/// Guards against an entry that forgets the stores while nothing changes: if the leading store is lost
+/// after that, no turn is served though the others run.
+#[test]
+fn processes_are_not_forgotten_in_a_quiet_period_without_lists() {
+    let state = FleetState::default();
+    let start = Duration::from_hours(1);
+    let sound = |number| store(number, Duration::ZERO);
+    state.merge_at(start, list(vec![sound(1), sound(2), sound(3)]));
+    for quiet in [1, 3, 10, 30, 24 * 60].map(Duration::from_mins) {
+        let now = start + quiet;
+        // A configuration comes, which says nothing of the processes.
+        state.merge_at(now, update(2, None));
+        assert_eq!(state.peers_at(now, Role::Store).len(), 3, "after {quiet:?}");
+    }
+}
+
+#[test]
+fn a_process_that_lists_no_longer_name_is_forgotten() {
+    let state = FleetState::default();
+    let start = Duration::from_hours(1);
+    state.merge_at(
+        start,
+        list(vec![store(1, Duration::ZERO), store(2, Duration::ZERO)]),
+    );
+    let mut now = start;
+    for round in 1..=5_u32 {
+        now = start + Duration::from_secs(30) * round;
+        state.merge_at(now, list(vec![store(1, Duration::ZERO)]));
+        let is_due = round >= 4;
+        assert_eq!(
+            state.peers_at(now, Role::Store).len(),
+            if is_due { 1 } else { 2 }
+        );
+    }
+    // A list of a control instance that has just started is short; the next one is whole again.
+    state.merge_at(
+        now,
+        list(vec![store(1, Duration::ZERO), store(3, Duration::ZERO)]),
+    );
+    now += Duration::from_secs(30);
+    state.merge_at(now, list(vec![]));
+    assert_eq!(state.peers_at(now, Role::Store).len(), 2);
+}
