fix(gateway): a response to another request decides nothing

Cause: "not executed" and status 421 were read before the response's id was compared with the request's, so that a late refusal of the request before was taken for this one's.

Change: the id is compared first; a response with another id counts as none, closes its connection, and leaves the request as one that may have run. Refusals without an id are still accepted.

--- a/crates/celerycove-gateway/src/entry/exchange.rs
+++ b/crates/celerycove-gateway/src/entry/exchange.rs
@@ -340,6 +340,12 @@
         sent_at: Timestamp,
     ) -> AttemptOutcome {
         let metadata = self.entry.dialect.response_metadata(&head);
+        // The response of another request decides nothing about this one, whatever it states.
+        if let Some(answered) = &metadata.request_id
+            && *answered != self.request
+        {
+            return self.reject_foreign_response(choice, head.status);
+        }
         let misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
         // A misdirected request was answered by another backend server than the chosen one.
         if metadata.leaving && !misdirected {
@@ -357,16 +363,8 @@
             self.excluded.push(choice.backend);
             return AttemptOutcome::NotRun;
         }
-        if metadata.request_id.as_ref() != Some(&self.request) {
-            // The response belongs to another request.
-            self.record_attempt(
-                &choice,
-                Outcome::Failed,
-                "answer to another request",
-                &head.status,
-            );
-            self.exclude_after_send(choice);
-            return AttemptOutcome::MayHaveRun(Refusal::Failed);
+        if metadata.request_id.is_none() {
+            return self.reject_foreign_response(choice, head.status);
         }
         self.sent += 1;
         if let Some(load) = metadata.load {
@@ -383,6 +381,18 @@
         }))
     }
 
+    /// Records a response that is not known to answer this request, which may run nevertheless.
+    fn reject_foreign_response(&mut self, choice: Selection, status: StatusCode) -> AttemptOutcome {
+        self.record_attempt(
+            &choice,
+            Outcome::Failed,
+            "answer to another request",
+            &status,
+        );
+        self.exclude_after_send(choice);
+        AttemptOutcome::MayHaveRun(Refusal::Failed)
+    }
+
     /// Notes that a backend server has said that it leaves.
     fn record_departure(&self, choice: &Selection) {
         let mut servers = lock(&self.entry.servers);
--- a/crates/celerycove-gateway/tests/callers.rs
+++ b/crates/celerycove-gateway/tests/callers.rs
@@ -330,6 +330,29 @@
     });
 }
 
+/// Guards against a late refusal of an earlier request being taken for that of the request in flight, which
+/// would then run at two backend servers.
+#[test]
+fn a_late_refusal_of_another_request_decides_nothing() {
+    fleet::run(async |deployment: &Deployment| {
+        deployment
+            .send_heartbeat(&deployment.spare, "draining", 2)
+            .await;
+        deployment.set_failures([Failure::LateRefusal]);
+        let first = deployment.call("first", "/once/x", Some("key-1")).await;
+        assert_eq!(first.status, 200);
+        // Sent on the same connection before the refusal arrives.
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        let second = deployment.call("second", "/once/x", Some("key-1")).await;
+        assert_eq!(second.status, 502, "it may run");
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        assert!(
+            deployment.executed_requests().len() <= 2,
+            "each at most once"
+        );
+    });
+}
+
 #[test]
 fn a_slow_but_sound_stream_is_neither_cut_nor_started_again() {
     fleet::run(async |deployment: &Deployment| {
--- a/crates/celerycove-gateway/tests/callers/backend.rs
+++ b/crates/celerycove-gateway/tests/callers/backend.rs
@@ -49,6 +49,8 @@
     /// Responds with this status and says that it leaves; with 503 it states that it does not execute the
     /// request.
     Leave(u16),
+    /// Sends a whole response and, some time later, a refusal that bears the identifier of the same request.
+    LateRefusal,
     /// Sends this body without a length or chunks, and closes the connection.
     Unframed(&'static str),
     /// Sends this body without a length or chunks, and resets the connection.
@@ -267,6 +269,13 @@
             send_without_end(stream, "answer").await;
             return None;
         }
+        Some(Failure::LateRefusal) => {
+            stream.write_all(response.as_bytes()).await.ok()?;
+            tokio::time::sleep(SECOND_COPY_DELAY).await;
+            let refusal =
+                format!("HTTP/1.1 503 No\r\nid: {id}\r\ndeclined: 1\r\ncontent-length: 0\r\n\r\n");
+            (refusal, true)
+        }
         Some(Failure::SecondCopy) => {
             stream.write_all(response.as_bytes()).await.ok()?;
             tokio::time::sleep(SECOND_COPY_DELAY).await;
