fix(gateway): reset connections whose request was given up

Cause: the connection was closed in the ordinary way, and what it had written was sent again for up to 6 s.

Change: a connection to a backend server is reset when it is dropped before its response was read to the end.

--- a/crates/celerycove-gateway/src/entry.rs
+++ b/crates/celerycove-gateway/src/entry.rs
@@ -15,6 +15,7 @@
 mod relay;
 mod serve;
 mod stop;
+mod stream;
 mod turns;
 
 use std::{
--- a/crates/celerycove-gateway/src/entry/exchange.rs
+++ b/crates/celerycove-gateway/src/entry/exchange.rs
@@ -465,9 +465,7 @@
                 return Err(BufferError::Interrupted);
             }
         };
-        if keeps_alive(&head) {
-            connection.release(metadata.idle_timeout);
-        }
+        connection.finish(keeps_alive(&head), metadata.idle_timeout);
         if head.status.is_server_error() {
             self.record_attempt(
                 &choice,
--- a/crates/celerycove-gateway/src/entry/pool.rs
+++ b/crates/celerycove-gateway/src/entry/pool.rs
@@ -20,6 +20,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::{net::TcpStream, task::AbortHandle, time::timeout};
 
+use super::stream::{GivenUp, Stream};
 use crate::{clock, http, link::lock};
 
 /// Time limit for opening a connection: many round trips within a region.
@@ -45,6 +46,7 @@
 struct IdleConnection {
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
+    given_up: GivenUp,
     usable_until: Timestamp,
 }
 
@@ -54,12 +56,13 @@
     idle: Mutex<Map<Key, Vec<IdleConnection>>>,
 }
 
-/// A connection in use. It is closed when dropped, unless it is released to the pool.
+/// A connection in use. It is reset when dropped, unless its response was read to the end.
 pub(super) struct PooledConnection {
     pool: Arc<Pool>,
     key: Key,
     sender: Option<SendRequest<Full<Bytes>>>,
     task: AbortHandle,
+    given_up: GivenUp,
     /// Whether the connection has carried an earlier request.
     pub(super) reused: bool,
 }
@@ -92,9 +95,10 @@
             Err(_) => return Err(std::io::ErrorKind::TimedOut.into()),
         };
         http::set_socket_options(&stream);
+        let given_up = GivenUp::default();
         let (sender, connection) = hyper::client::conn::http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
-            .handshake(TokioIo::new(stream))
+            .handshake(TokioIo::new(Stream::new(stream, given_up.clone())))
             .await
             .map_err(std::io::Error::other)?;
         let task = tokio::spawn(async move {
@@ -106,6 +110,7 @@
             key,
             sender: Some(sender),
             task: task.abort_handle(),
+            given_up,
             reused: false,
         })
     }
@@ -121,6 +126,7 @@
                     key: key.clone(),
                     sender: Some(connection.sender),
                     task: connection.task,
+                    given_up: connection.given_up,
                     reused: true,
                 });
             }
@@ -170,9 +176,11 @@
         })
     }
 
-    /// Returns the connection to the pool after a response was read to its end.
-    pub(super) fn release(mut self, idle_timeout: Option<Duration>) {
+    /// Ends the use of the connection after a response was read to its end: returns it to the pool, or
+    /// closes it.
+    pub(super) fn finish(mut self, keeps_alive: bool, idle_timeout: Option<Duration>) {
         if let Some(sender) = self.sender.take()
+            && keeps_alive
             && !sender.is_closed()
         {
             let usable_for = idle_timeout
@@ -181,6 +189,7 @@
             let connection = IdleConnection {
                 sender,
                 task: self.task.clone(),
+                given_up: self.given_up.clone(),
                 usable_until: clock::now() + usable_for,
             };
             self.pool.put_idle(self.key.clone(), connection);
@@ -191,6 +200,7 @@
 impl Drop for PooledConnection {
     fn drop(&mut self) {
         if self.sender.is_some() {
+            self.given_up.store(true, Relaxed);
             self.task.abort();
         }
     }
--- a/crates/celerycove-gateway/src/entry/relay.rs
+++ b/crates/celerycove-gateway/src/entry/relay.rs
@@ -216,8 +216,8 @@
             Stop::CallerLeft => "caller left",
             Stop::TimedOut => "time ran out",
         };
-        if stop == Stop::Whole && keeps_alive(&head) {
-            connection.release(metadata.idle_timeout);
+        if stop == Stop::Whole {
+            connection.finish(keeps_alive(&head), metadata.idle_timeout);
         } else if outcome == Outcome::Failed {
             self.dispatch.excluded.push(choice.backend.clone());
         }
--- a/crates/celerycove-gateway/tests/callers.rs
+++ b/crates/celerycove-gateway/tests/callers.rs
@@ -779,3 +779,42 @@
         assert!(!reply.complete);
     });
 }
+
+/// Guards against a request that was given up and still travels: what waits in the buffers of a connection
+/// would reach the backend server after the request was answered otherwise, or after its data centre was
+/// evacuated.
+#[test]
+fn a_request_that_was_given_up_is_not_delivered_later() {
+    fleet::run(async |deployment: &Deployment| {
+        for backend in [&deployment.backend, &deployment.spare] {
+            deployment.send_heartbeat(backend, "draining", 9).await;
+        }
+        // It accepts connections and reads nothing, like one behind a partition.
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0")
+            .await
+            .expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let heartbeat = format!("{address} ready 1");
+        assert_eq!(
+            deployment
+                .order_with_body("PUT", "/beat/stuck", heartbeat)
+                .await,
+            200
+        );
+        let mut caller = deployment.begin_call("given-up", REQUEST_BYTES).await;
+        caller.write_all(b"x").await.expect("sent");
+        let (mut stuck, _) = listener.accept().await.expect("a connection");
+        let head = response_head(&mut caller, Duration::from_secs(6)).await;
+        assert!(head.expect("an answer").starts_with("HTTP/1.1 50"));
+
+        let mut received = Vec::new();
+        let end = stuck.read_to_end(&mut received).await;
+        let error = end.expect_err("the connection was reset");
+        assert_eq!(error.kind(), std::io::ErrorKind::ConnectionReset);
+        assert!(received.len() < REQUEST_BYTES, "{} bytes", received.len());
+    });
+}
+
+/// More than the buffers of a connection hold while its receiver reads nothing, and less than a body may
+/// have.
+const REQUEST_BYTES: usize = 4_000_000;
