--- a/crates/celerycove-gateway/src/lib.rs
+++ b/crates/celerycove-gateway/src/lib.rs
@@ -41,13 +41,6 @@
         #[source]
         source: std::io::Error,
     },
-    /// Signal handlers can't be installed.
-    #[error("could not watch for signals")]
-    Signals {
-        /// The cause.
-        #[source]
-        source: std::io::Error,
-    },
     /// The replicated log on the disk can't be opened.
     #[error(transparent)]
     Storage(#[from] celerycove_control::storage::Error),
