--- a/crates/celerycove-gateway/src/entry.rs
+++ b/crates/celerycove-gateway/src/entry.rs
@@ -13,6 +13,7 @@
 mod recent;
 mod refuse;
 mod relay;
+mod response;
 mod serve;
 mod stop;
 mod stream;
--- a/crates/celerycove-gateway/src/entry/exchange.rs
+++ b/crates/celerycove-gateway/src/entry/exchange.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use celerycove_fleet::{
     Index,
     config::{Route, ServiceName},
@@ -10,11 +10,10 @@
 use celerycove_quarantine::digest::{Digests, Subject};
 use celerycove_route::direct::{Outcome, Request as RouteRequest, Selection};
 use celerycove_types::{Timestamp, id};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::{
     HeaderMap, Method, Request, StatusCode, Uri,
     body::Incoming,
-    header,
     http::{response::Parts, uri::PathAndQuery},
 };
 
@@ -22,12 +21,13 @@
     Entry, Refusal,
     crashes::Broken,
     pool::{PooledConnection, SendError},
+    response::{BufferError, collect, is_delimited, keeps_alive},
 };
 use crate::{
     clock,
     dialect::{Attempt, RequestMetadata, ResponseMetadata},
     link::lock,
-    memory::{Account, Part, Room},
+    memory::{Part, Room},
 };
 
 /// A request with less time left than this is refused: sending it would waste a backend server's
@@ -36,8 +36,6 @@
 /// Number of attempts after which a request is refused if the last one did not run it, because the
 /// backend server declined or was out of reach.
 const MAX_TRIES: u32 = 5;
-/// Limit on a response that is buffered completely before it is forwarded.
-const MAX_BUFFERED_BYTES: usize = 16 << 20;
 /// Multiple of the route's target latency after which a request that may be repeated is retried at
 /// another backend server.
 const RESPONSE_TIMEOUT_FACTOR: u32 = 3;
@@ -521,71 +519,11 @@
     }
 }
 
-/// Why a response was not read to its end.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum BufferError {
-    /// It was interrupted, took too long, or exceeds the limit on one response.
-    Interrupted,
-    /// Other responses take the memory that it needs.
-    NoRoom,
-}
-
-/// Bytes with the room that they take until the caller has received them.
-struct Counted {
-    bytes: BytesMut,
-    _room: Room,
-}
-
-impl AsRef<[u8]> for Counted {
-    fn as_ref(&self) -> &[u8] {
-        &self.bytes
-    }
-}
-
 /// Returns the path and query of a request.
 pub(super) fn target(uri: &Uri) -> &str {
     uri.path_and_query().map_or("", PathAndQuery::as_str)
 }
 
-/// Reads a body to its end.
-async fn collect(body: Incoming, account: &Arc<Account>) -> Result<Bytes, BufferError> {
-    let mut body = Limited::new(body, MAX_BUFFERED_BYTES);
-    let mut bytes = BytesMut::new();
-    let mut room = account.empty(Part::Responses);
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_| BufferError::Interrupted)?;
-        let Ok(data) = frame.into_data() else {
-            continue;
-        };
-        if !room.try_extend(data.len()) {
-            return Err(BufferError::NoRoom);
-        }
-        bytes.extend_from_slice(&data);
-    }
-    Ok(Bytes::from_owner(Counted { bytes, _room: room }))
-}
-
-/// Returns whether a length or chunks mark the end of a response. Others end with their connection.
-fn is_delimited(head: &Parts) -> bool {
-    let has_no_body = matches!(
-        head.status,
-        StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
-    );
-    has_no_body
-        || head.headers.contains_key(header::CONTENT_LENGTH)
-        || head.headers.contains_key(header::TRANSFER_ENCODING)
-}
-
-/// Returns whether the connection stays open after a response.
-pub(super) fn keeps_alive(head: &Parts) -> bool {
-    let mut options = head.headers.get_all(header::CONNECTION).iter();
-    let is_closed = options.any(|value| {
-        let value = value.to_str().unwrap_or("close");
-        value.to_ascii_lowercase().contains("close")
-    });
-    !is_closed && is_delimited(head)
-}
-
 /// Reports an attempt to the backend selection as abandoned if it is dropped in flight, because the
 /// caller disconnected.
 pub(super) struct InFlightGuard {
--- a/crates/celerycove-gateway/src/entry/relay.rs
+++ b/crates/celerycove-gateway/src/entry/relay.rs
@@ -12,8 +12,9 @@
 use super::{
     chains::Chain,
     events::{Held, Splitter},
-    exchange::{Dispatch, Exchange, InFlightGuard, keeps_alive},
+    exchange::{Dispatch, Exchange, InFlightGuard},
     outbox,
+    response::keeps_alive,
     turns::Client as TurnClient,
 };
 use crate::{
@@ -280,7 +281,7 @@
             match (event.id, self.last_event) {
                 // Already forwarded before the stream was resumed.
                 (Some(id), Some(last)) if id <= last => continue,
-                (Some(id), Some(last)) if id > last + 1 => {
+                (Some(id), Some(last)) if id - last > 1 => {
                     return Err(Stop::Broken("an event is missing"));
                 }
                 _ => {}
--- a/crates/celerycove-gateway/src/replica/runner.rs
+++ b/crates/celerycove-gateway/src/replica/runner.rs
@@ -225,6 +225,8 @@
         log::error!(target: "log", error:% = error, applied = self.phase.node.applied_index();
             "the storage of the log failed; this replica takes no part in the log until it is recovered");
         lock(&self.pending).clear();
+        self.replica.account.set(Part::Log, 0);
+        self.replica.account.set(Part::Snapshots, 0);
         self.replica.status.store(Arc::new(Status {
             halted: true,
             ..Status::default()
