--- a/crates/celerycove-gateway/src/entry.rs
+++ b/crates/celerycove-gateway/src/entry.rs
@@ -15,8 +15,8 @@
 mod relay;
 mod response;
 mod serve;
+mod socket;
 mod stop;
-mod stream;
 mod turns;
 
 use std::{
@@ -73,8 +73,8 @@
     crashes: crashes::Crashes,
     /// Set once the entry is asked to stop.
     stop: OnceLock<stop::Plan>,
-    /// Notified when requests that are still open get their answers, shortly before the process ends.
-    time_is_up: Notify,
+    /// Notified shortly before the process ends: requests that are still open get an answer then.
+    grace_ended: Notify,
     /// Programs of which this entry has admitted a request recently.
     recent_programs: Mutex<recent::Programs>,
     /// Limits the lines about parts of the memory without room.
@@ -125,7 +125,7 @@
         metrics,
         crashes: crashes::Crashes::default(),
         stop: OnceLock::new(),
-        time_is_up: Notify::new(),
+        grace_ended: Notify::new(),
         recent_programs: Mutex::default(),
         no_room_lines: Mutex::new(Limit::new(NO_ROOM_LINES)),
         setup,
@@ -175,7 +175,7 @@
         let is_over = tokio::time::timeout(plan.until_answers(clock::now()), &mut self.server_task);
         if is_over.await.is_err() {
             log::warn!(target: "run", "requests are still open at the end of the grace period");
-            self.entry.time_is_up.notify_waiters();
+            self.entry.grace_ended.notify_waiters();
             let left = plan.until_end(clock::now());
             if tokio::time::timeout(left, self.server_task).await.is_err() {
                 log::warn!(target: "run", "some requests could not be answered in time");
--- a/crates/celerycove-gateway/src/entry/pool.rs
+++ b/crates/celerycove-gateway/src/entry/pool.rs
@@ -20,7 +20,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::{net::TcpStream, task::AbortHandle, time::timeout};
 
-use super::stream::{GivenUp, Stream};
+use super::socket::{GivenUp, Socket};
 use crate::{clock, http, link::lock};
 
 /// Time limit for opening a connection: many round trips within a region.
@@ -98,7 +98,7 @@
         let given_up = GivenUp::default();
         let (sender, connection) = hyper::client::conn::http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
-            .handshake(TokioIo::new(Stream::new(stream, given_up.clone())))
+            .handshake(TokioIo::new(Socket::new(stream, given_up.clone())))
             .await
             .map_err(std::io::Error::other)?;
         let task = tokio::spawn(async move {
--- a/crates/celerycove-gateway/src/entry/refuse.rs
+++ b/crates/celerycove-gateway/src/entry/refuse.rs
@@ -59,8 +59,8 @@
 /// `Retry-After` for refusals without a better estimate: about the time in which a failed leader is
 /// replaced.
 const RETRY_AFTER_UNAVAILABLE: Duration = Duration::from_millis(400);
-/// `Retry-After` if the backend servers or this instance's memory are at capacity, about the duration of one request, or
-/// if another instance can take the request.
+/// `Retry-After` if the backend servers or this instance's memory are at capacity, or if another
+/// instance can take the request: about the duration of one request.
 const RETRY_AFTER_FULL: Duration = Duration::from_millis(150);
 
 impl Refusal {
--- a/crates/celerycove-gateway/src/entry/serve.rs
+++ b/crates/celerycove-gateway/src/entry/serve.rs
@@ -63,7 +63,7 @@
                 let served = tokio::select! {
                     biased;
                     served = self.clone().serve(started, head, body, call) => served,
-                    () = self.time_is_up.notified() => Err(Refusal::TimedOut),
+                    () = self.grace_ended.notified() => Err(Refusal::TimedOut),
                 };
                 match served {
                     Ok(response) => response,
--- a/crates/celerycove-gateway/src/entry/stream.rs
+++ b/crates/celerycove-gateway/src/entry/socket.rs
@@ -23,18 +23,18 @@
 /// system would go on sending what waits in its buffer, and a request that was held up by a network
 /// partition would reach the backend server long after it was answered otherwise.
 #[derive(Debug)]
-pub(super) struct Stream {
+pub(super) struct Socket {
     inner: TcpStream,
     given_up: GivenUp,
 }
 
-impl Stream {
+impl Socket {
     pub(super) fn new(inner: TcpStream, given_up: GivenUp) -> Self {
         Self { inner, given_up }
     }
 }
 
-impl Drop for Stream {
+impl Drop for Socket {
     fn drop(&mut self) {
         if !self.given_up.load(Relaxed) {
             return;
@@ -46,7 +46,7 @@
     }
 }
 
-impl AsyncRead for Stream {
+impl AsyncRead for Socket {
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
@@ -56,7 +56,7 @@
     }
 }
 
-impl AsyncWrite for Stream {
+impl AsyncWrite for Socket {
     fn poll_write(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
