test(gateway): measure an entry's memory in a process of its own

Traced: after the tests of large bodies the process held 116,973,568 bytes before this test began and 130,326,528 at its largest; alone it held 14,610,432 and 26,222,592.

Change: the test runs itself in a process of its own; the limit is unchanged. With the accounting of events taken out it fails with 117,272,576 bytes.

--- a/crates/celerycove-gateway/tests/callers/fleet.rs
+++ b/crates/celerycove-gateway/tests/callers/fleet.rs
@@ -37,6 +37,8 @@
 const PORTS: std::ops::Range<u16> = 21_000..29_000;
 /// The port that claims a block, and those of the deployment.
 const BLOCK_PORTS: u16 = 10;
+/// Set in a process that runs a single test.
+const OWN_PROCESS: &str = "CELERYCOVE_TEST_IN_OWN_PROCESS";
 /// How long after the signal to stop a process is killed.
 const GRACE_PERIOD: Duration = Duration::from_secs(8);
 /// The memory limit of a small deployment.
@@ -76,6 +78,27 @@
     run_deployment(&Disks::new(), grace_period, test);
 }
 
+/// Runs a test like [`run`] in a process of its own, so that it can measure what the process holds.
+/// `name` is the full name of the test that calls this.
+pub fn run_in_own_process(name: &str, test: impl AsyncFnOnce(&Deployment)) {
+    if std::env::var_os(OWN_PROCESS).is_some() {
+        return run(test);
+    }
+    let _guard = DEPLOYMENT_LOCK
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner);
+    let program = std::env::current_exe().expect("the test program");
+    let output = std::process::Command::new(program)
+        .args(["--exact", name])
+        .env(OWN_PROCESS, "1")
+        .output()
+        .expect("a process");
+    let printed = String::from_utf8_lossy(&output.stdout);
+    assert!(output.status.success(), "{printed}");
+    let has_run = printed.contains("1 passed");
+    assert!(has_run, "no test is called {name}: {printed}");
+}
+
 fn run_deployment(disks: &Disks, grace_period: Duration, test: impl AsyncFnOnce(&Deployment)) {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
--- a/crates/celerycove-gateway/tests/callers/misbehaviour.rs
+++ b/crates/celerycove-gateway/tests/callers/misbehaviour.rs
@@ -146,7 +146,8 @@
 #[test]
 fn many_long_events_without_end_stay_within_the_memory_limit() {
     const STREAMS: usize = 80;
-    fleet::run(async |deployment: &Deployment| {
+    const NAME: &str = "misbehaviour::many_long_events_without_end_stay_within_the_memory_limit";
+    fleet::run_in_own_process(NAME, async |deployment: &Deployment| {
         deployment.set_failures(vec![Failure::LongEvent; STREAMS]);
         let streams = (0..STREAMS).map(async |number| {
             let id = format!("long-{number}");
