fix(disk): load logs in linear time

Callers: no turn was served for a second longer than needed after a loss of power. Cause: each loaded entry was compared with all loaded before it. Fix: entries in memory are in order, so only the last ones can be replaced by the next one.

--- a/crates/celerycove-disk/src/control.rs
+++ b/crates/celerycove-disk/src/control.rs
@@ -124,8 +124,8 @@
                 continue;
             }
             // An entry replaces earlier ones at the same index and after: a new leader's entries
-            // supersede uncommitted ones.
-            entries.retain(|earlier| earlier.index < entry.index);
+            // supersede uncommitted ones. Those that remain are in order, so only the end is looked at.
+            while entries.pop_if(|last| last.index >= entry.index).is_some() {}
             if entry.index != entries.last().map_or(snapshot_index, |last| last.index) + 1 {
                 return Err(Error {
                     operation: "load",
--- a/crates/celerycove-disk/tests/disk.rs
+++ b/crates/celerycove-disk/tests/disk.rs
@@ -146,6 +146,26 @@
     assert_eq!(reloaded.expect("intact").entries.len(), 3);
 }
 
+/// Guards against a start that takes time growing with the square of the log: a replica whose log
+/// is loaded late can't vote, so that no leader is elected after a loss of power.
+#[test]
+fn a_long_control_log_is_loaded_within_the_time_to_replace_an_instance() {
+    const ENTRIES: u64 = 100_000;
+    /// Shortest time that deployments allow for an instance to catch up after its start.
+    const CATCH_UP: std::time::Duration = std::time::Duration::from_secs(4);
+    let directory = TempDir::new("long-log");
+    let mut store = Store::new(directory.path().to_owned()).expect("a directory");
+    store.load().expect("an empty log");
+    let entries: Vec<_> = (1..=ENTRIES).map(|index| entry(index, 1)).collect();
+    store.append(&entries).expect("synced");
+    let mut reopened = Store::new(directory.path().to_owned()).expect("a directory");
+    let began = std::time::Instant::now();
+    let loaded = reopened.load().expect("a whole log");
+    let took = began.elapsed();
+    assert_eq!(loaded.entries.len(), entries.len());
+    assert!(took < CATCH_UP, "loading took {took:?}");
+}
+
 #[test]
 fn loading_a_control_log_with_a_gap_fails() {
     let directory = TempDir::new("gap");
