feat(gateway): let requests wait for the first configuration after a start

Change: for three seconds after the start of an entry a request waits for the configuration, at most a second or a quarter of its time.

--- a/crates/celerycove-gateway/src/entry.rs
+++ b/crates/celerycove-gateway/src/entry.rs
@@ -16,6 +16,7 @@
 mod response;
 mod serve;
 mod socket;
+mod startup;
 mod stop;
 mod turns;
 
@@ -71,6 +72,7 @@
     turns: Arc<turns::Client>,
     metrics: Arc<Metrics>,
     crashes: crashes::Crashes,
+    startup: startup::Startup,
     /// Set once the entry is asked to stop.
     stop: OnceLock<stop::Plan>,
     /// Notified shortly before the process ends: requests that are still open get an answer then.
@@ -124,6 +126,7 @@
         connections: connections.clone(),
         metrics,
         crashes: crashes::Crashes::default(),
+        startup: startup::Startup::new(clock::now()),
         stop: OnceLock::new(),
         grace_ended: Notify::new(),
         recent_programs: Mutex::default(),
@@ -213,6 +216,7 @@
                 .is_some_and(|index| Arc::ptr_eq(index.config(), config))
             {
                 self.index.store(Some(Arc::new(Index::new(config.clone()))));
+                self.startup.set_configured();
             }
         }
         if changes.view || !changes.beats.is_empty() {
--- a/crates/celerycove-gateway/src/entry/serve.rs
+++ b/crates/celerycove-gateway/src/entry/serve.rs
@@ -38,6 +38,8 @@
 
 /// Time limit for the stores to begin a turn; after that the caller is told to retry.
 const BEGIN_TURN_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Time limit of a request that names none, as long as no configuration with time limits is known.
+const UNCONFIGURED_TIME_LIMIT: Duration = Duration::from_secs(4);
 /// A request may wait for a rate limit token for its time limit divided by this number.
 const TOKEN_WAIT_DIVISOR: u32 = 4;
 
@@ -116,6 +118,12 @@
         body: Incoming,
         call: RequestMetadata,
     ) -> Result<Response<Body>, Refusal> {
+        if self.index.load().is_none() {
+            let time_limit = call.timeout.unwrap_or(UNCONFIGURED_TIME_LIMIT);
+            let max_wait = self.startup.max_wait(started, time_limit);
+            let is_configured = || self.index.load().is_some();
+            self.startup.wait(max_wait, is_configured).await;
+        }
         let admitted = self.admit(&head, &call)?;
         let request = call
             .request_id
