feat(fleet): rollouts of service versions in the replicated state

Cause: an order to move a service to a version must survive the loss of any process, and a delayed order must not undo a later one. Change: Heartbeat.version; Fleet and Change hold the last rollout of each service and the versions that get no requests. Barred versions are kept apart from the rollout, because the servers of a version that was rolled back may still run when the next one starts.

--- a/crates/celerycove-fleet/src/change.rs
+++ b/crates/celerycove-fleet/src/change.rs
@@ -10,12 +10,13 @@
 };
 
 use bytes::Bytes;
+use celerycove_rollout::{Rollout, order::Version};
 use celerycove_types::{Map, id};
 use serde::{Deserialize, Serialize};
 
 use crate::{
     Config, Fleet,
-    config::{Limits, Organisation, Route, Service},
+    config::{Limits, Organisation, Route, Service, ServiceName},
     state::Revision,
 };
 
@@ -29,6 +30,10 @@
     entries: Option<BTreeMap<id::Process, id::DataCentre>>,
     founders: Option<BTreeSet<id::Process>>,
     retiring: Option<BTreeMap<Arc<str>, id::Process>>,
+    #[serde(default)]
+    rollouts: Option<BTreeMap<ServiceName, Rollout>>,
+    #[serde(default)]
+    barred: Option<BTreeMap<ServiceName, BTreeSet<Version>>>,
 }
 
 /// What changed in the configuration. The source text is never included.
@@ -80,6 +85,8 @@
             entries: changed(&before.entries, &after.entries),
             founders: changed(&before.founders, &after.founders),
             retiring: changed(&before.retiring, &after.retiring),
+            rollouts: changed(&before.rollouts, &after.rollouts),
+            barred: changed(&before.barred, &after.barred),
         }
     }
 
@@ -98,6 +105,8 @@
             entries: self.entries.as_ref().unwrap_or(&fleet.entries).clone(),
             founders: self.founders.as_ref().unwrap_or(&fleet.founders).clone(),
             retiring: self.retiring.as_ref().unwrap_or(&fleet.retiring).clone(),
+            rollouts: self.rollouts.as_ref().unwrap_or(&fleet.rollouts).clone(),
+            barred: self.barred.as_ref().unwrap_or(&fleet.barred).clone(),
         }
     }
 }
--- a/crates/celerycove-fleet/src/lib.rs
+++ b/crates/celerycove-fleet/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! [`Config`] is a complete configuration; a higher version replaces a lower one. [`Fleet`] is the
 //! state machine of the replicated control log: the configuration, evacuated data centres, the
-//! entry processes that share rate limits, and the stores. [`Registry`] merges the heartbeats of
+//! entry processes that share rate limits, the stores, and the rollouts of services. [`Registry`] merges the heartbeats of
 //! backend servers, which may arrive in any order and over several paths.
 
 #![deny(missing_docs, rust_2018_idioms)]
@@ -14,6 +14,7 @@
 pub mod registry;
 pub mod state;
 
+pub use celerycove_rollout::{Rollout, Stage};
 pub use change::Change;
 pub use config::Config;
 pub use index::Index;
--- a/crates/celerycove-fleet/src/registry.rs
+++ b/crates/celerycove-fleet/src/registry.rs
@@ -1,6 +1,6 @@
 //! The registry of backend servers, built from their heartbeats.
 
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use celerycove_types::{Map, Timestamp, id};
 use serde::{Deserialize, Serialize};
@@ -15,8 +15,8 @@
 /// A backend server loses its address to one that started earlier if that one was heard this much
 /// later: several heartbeat intervals. Only one of them can listen there.
 const ADDRESS_CLAIM: Duration = Duration::from_secs(5);
-/// The longest name of a backend server, a service or a data centre, in bytes.
-const MAX_NAME_BYTES: usize = 200;
+/// The longest name of a backend server, a service, a data centre or a version, in bytes.
+pub const MAX_NAME_BYTES: usize = 200;
 /// The most requests that a backend server can run concurrently.
 const MAX_SLOTS: u32 = 100_000;
 /// The longest time for which a backend server can stay cold.
@@ -59,6 +59,9 @@
     /// How much longer it stays cold, counted from the heartbeat.
     #[serde(rename = "cold")]
     pub cold_remaining: Duration,
+    /// The version of the software that it runs; empty if it names none.
+    #[serde(default)]
+    pub version: Arc<str>,
 }
 
 /// A value in a heartbeat that no backend server sends.
@@ -83,7 +86,12 @@
         // A backend server sends fewer heartbeats than milliseconds pass.
         let max_sequence = latest_start.saturating_sub(self.started_at_ms);
         let ip = self.address.ip();
-        let names = [&*self.backend, &*self.service, &*self.data_centre];
+        let names = [
+            &*self.backend,
+            &*self.service,
+            &*self.data_centre,
+            &*self.version,
+        ];
         let checks = [
             ("start time", self.started_at_ms <= latest_start),
             ("sequence number", self.sequence <= max_sequence),
@@ -169,6 +177,7 @@
             && heartbeat.stage == known.heartbeat.stage
             && heartbeat.address == known.heartbeat.address
             && heartbeat.service == known.heartbeat.service
+            && heartbeat.version == known.heartbeat.version
             && heartbeat.slots == known.heartbeat.slots;
         *known = Record { heartbeat, sent_at };
         if is_unchanged && !became_warm && !became_cold {
--- a/crates/celerycove-fleet/tests/fleet.rs
+++ b/crates/celerycove-fleet/tests/fleet.rs
@@ -68,6 +68,7 @@
         slots: 6,
         stage,
         cold_remaining: Duration::ZERO,
+        version: "v1".into(),
     }
 }
 
@@ -292,6 +293,7 @@
     );
     assert_eq!(rejected(&|odd| odd.service = long.as_str().into()), "names");
     assert_eq!(rejected(&|odd| odd.backend = long.as_str().into()), "names");
+    assert_eq!(rejected(&|odd| odd.version = long.as_str().into()), "names");
     assert_eq!(rejected(&|odd| odd.slots = u32::MAX), "slots");
     assert_eq!(rejected(&|odd| odd.slots = 0), "slots");
     assert_eq!(
--- a/crates/celerycove-gateway/tests/callers/dialect.rs
+++ b/crates/celerycove-gateway/tests/callers/dialect.rs
@@ -92,10 +92,11 @@
     fn heartbeat(&self, backend: &id::Backend, body: &[u8]) -> Result<Heartbeat, MalformedField> {
         let text = String::from_utf8_lossy(body);
         let words: Vec<_> = text.split(' ').collect();
-        // The incarnation may be left out.
-        let (address, stage, seq, born) = match words[..] {
-            [address, stage, seq] => (address, stage, seq, "1"),
-            [address, stage, seq, born] => (address, stage, seq, born),
+        // The incarnation and the version may be left out.
+        let (address, stage, seq, born, version) = match words[..] {
+            [address, stage, seq] => (address, stage, seq, "1", ""),
+            [address, stage, seq, born] => (address, stage, seq, born, ""),
+            [address, stage, seq, born, version] => (address, stage, seq, born, version),
             _ => return Err(MalformedField { field: "beat" }),
         };
         Ok(Heartbeat {
@@ -114,6 +115,7 @@
                 Stage::Leaving
             },
             cold_remaining: Duration::ZERO,
+            version: version.into(),
         })
     }
 
