feat(route): requests that may run on some versions only

Change: Registration.version and Request.versions; a backend server of another version is not eligible. Two existing test files name the new fields.

--- a/crates/celerycove-gateway/src/entry.rs
+++ b/crates/celerycove-gateway/src/entry.rs
@@ -291,6 +291,7 @@
             },
             cold_rate: self.cold_rate(service.cold_rate, &heartbeat.data_centre, entries),
             cache_tokens: service.cache_tokens,
+            version: heartbeat.version.clone(),
         }
     }
 
--- a/crates/celerycove-gateway/src/entry/exchange.rs
+++ b/crates/celerycove-gateway/src/entry/exchange.rs
@@ -8,7 +8,7 @@
     config::{Route, ServiceName},
 };
 use celerycove_quarantine::digest::{Digests, Subject};
-use celerycove_route::direct::{Outcome, Request as RouteRequest, Selection};
+use celerycove_route::direct::{Outcome, Request as RouteRequest, Selection, Versions};
 use celerycove_types::{Timestamp, id};
 use http_body_util::Full;
 use hyper::{
@@ -247,6 +247,7 @@
             affinity: self.affinity,
             prompt: &self.call.prompt,
             excluded: &self.excluded,
+            versions: Versions::Any,
         };
         lock(&self.entry.servers).select(now, &self.service, &route_request)
     }
--- a/crates/celerycove-route/src/direct.rs
+++ b/crates/celerycove-route/src/direct.rs
@@ -11,18 +11,22 @@
 mod order;
 mod report;
 mod shared;
+mod versions;
 
 use std::{sync::Arc, time::Duration};
 
 use celerycove_types::{Map, Timestamp, id};
 
-pub use self::report::{Report, Tally};
 use self::{
     demand::{Counts, Demand},
     departure::Departures,
     order::{Choices, choices, name_hash},
     shared::SharedParts,
 };
+pub use self::{
+    report::{Report, Tally},
+    versions::Versions,
+};
 use crate::prefix::{Cache, Part};
 
 /// Time to prefill one uncached token on an idle engine of the deployments in `etc/`.
@@ -79,6 +83,8 @@
     pub cold_rate: f64,
     /// Size of its prefix cache in tokens, if known.
     pub cache_tokens: Option<id::Tokens>,
+    /// Version of its software; empty if it names none.
+    pub version: Arc<str>,
 }
 
 /// Load of a backend server as reported with its responses.
@@ -147,6 +153,8 @@
     pub prompt: &'a [Part],
     /// Backend servers to which this request was already sent.
     pub excluded: &'a [id::Backend],
+    /// Versions that it may run on.
+    pub versions: Versions<'a>,
 }
 
 /// A selected backend server.
@@ -167,6 +175,8 @@
     pub candidates: usize,
     /// Age of its last heartbeat.
     pub heartbeat_age: Duration,
+    /// Version of its software.
+    pub version: Arc<str>,
 }
 
 /// The backend servers of each service, as seen by one entry.
@@ -305,6 +315,7 @@
             expected_delay: expected,
             candidates,
             heartbeat_age: now.saturating_sub(server.registration.last_heartbeat),
+            version: server.registration.version.clone(),
         })
     }
 
--- a/crates/celerycove-route/src/direct/order.rs
+++ b/crates/celerycove-route/src/direct/order.rs
@@ -44,7 +44,11 @@
     let mut first: [Vec<(Place, usize)>; 2] = [Vec::new(), Vec::new()];
     let mut with_history = Vec::new();
     for (index, server) in servers.iter_mut().enumerate() {
-        if request.excluded.contains(&server.registration.backend) || !server.accepts_request(now) {
+        let registration = &server.registration;
+        if request.excluded.contains(&registration.backend)
+            || !request.versions.allow(&registration.version)
+            || !server.accepts_request(now)
+        {
             continue;
         }
         candidates += 1;
--- a/crates/celerycove-route/tests/direct.rs
+++ b/crates/celerycove-route/tests/direct.rs
@@ -3,7 +3,9 @@
 use std::{sync::Arc, time::Duration};
 
 use celerycove_route::{
-    direct::{Load, Outcome, Registration, Report, Request, Servers, Tally, affinity_hash},
+    direct::{
+        Load, Outcome, Registration, Report, Request, Servers, Tally, Versions, affinity_hash,
+    },
     prefix::Part,
 };
 use celerycove_types::Timestamp;
@@ -21,6 +23,7 @@
         cold_until: Timestamp::ZERO,
         cold_rate: 0.0,
         cache_tokens: Some(10_000),
+        version: "".into(),
     }
 }
 
@@ -71,6 +74,7 @@
             affinity: affinity_hash("p7"),
             prompt: &prompt,
             excluded: &[],
+            versions: Versions::Any,
         };
         let choice = servers.select(NOW, "llm", &request).expect("a server");
         assert!(turns == 1 || choice.cached_tokens >= 2_560 + 300 * (turns - 1));
@@ -90,6 +94,7 @@
             affinity: affinity_hash(&format!("p{program}")),
             prompt: &prompt,
             excluded: &[],
+            versions: Versions::Any,
         };
         let choice = servers.select(NOW, "llm", &request).expect("a server");
         *counts.entry(choice.backend).or_insert(0) += 1;
@@ -435,3 +440,38 @@
         assert_eq!(&*selection.expect("one stays").backend, "staying");
     }
 }
+
+/// Guards against a request that runs on a version which no order allows.
+#[test]
+fn a_request_goes_only_to_the_versions_that_it_may_run_on() {
+    let service = Arc::from("llm");
+    let mut servers = Servers::new("a".into());
+    let registrations = [("e1", "v1"), ("e2", "v2"), ("e3", "")].map(|(name, version)| {
+        let version = version.into();
+        Registration {
+            version,
+            ..registration(name, "a")
+        }
+    });
+    servers.update(NOW, &service, registrations.into());
+    let mut selected = |versions| {
+        let selections = (0..20).filter_map(|affinity| {
+            let request = Request {
+                affinity,
+                versions,
+                ..Request::default()
+            };
+            let selection = servers.select(NOW, "llm", &request)?;
+            servers.record_outcome(NOW, "llm", &selection.backend, Outcome::Answered, None);
+            Some(selection.version.to_string())
+        });
+        selections.collect::<std::collections::BTreeSet<_>>()
+    };
+    let excluded = ["v2".into()].into();
+    let all = ["v1".into(), "v2".into(), "".into()].into();
+    assert_eq!(selected(Versions::Only("v2")), ["v2".to_owned()].into());
+    assert!(!selected(Versions::Except(&excluded)).contains("v2"));
+    assert!(selected(Versions::Except(&all)).is_empty());
+    assert!(selected(Versions::Only("v3")).is_empty());
+    assert_eq!(selected(Versions::Any).len(), 3);
+}
--- a/crates/celerycove-route/tests/fleet.rs
+++ b/crates/celerycove-route/tests/fleet.rs
@@ -5,7 +5,7 @@
 
 use celerycove_route::{
     direct::{
-        Outcome, Registration, Request, Servers, affinity_hash,
+        Outcome, Registration, Request, Servers, Versions, affinity_hash,
         demand::{Collector, Counts},
     },
     prefix::Part,
@@ -60,6 +60,7 @@
         cold_until: Timestamp::ZERO,
         cold_rate: 0.0,
         cache_tokens: Some(160_000),
+        version: "".into(),
     });
     engines.collect()
 }
@@ -98,6 +99,7 @@
             affinity: affinity_hash(&format!("program-{}", turn.program)),
             prompt: &prompt,
             excluded: &[],
+            versions: Versions::Any,
         };
         let selection = self.entries[turn.entry].select(now, "llm", &request);
         let engine = selection.expect("an engine").backend;
