--- a/crates/celerycove-rollout/src/decider.rs
+++ b/crates/celerycove-rollout/src/decider.rs
@@ -7,9 +7,25 @@
 use crate::{
     lease::{LIFETIME, Lease, Share},
     order::{Revision, Rollout},
-    report::Report,
+    report::{INTERVAL, Report, Tally},
+    statistics::{Comparison, Finding},
 };
 
+mod ledger;
+mod schedule;
+
+use ledger::Ledger;
+use schedule::{Gate, Schedule};
+
+/// Interval at which the elapsed time is committed.
+const PROGRESS_INTERVAL: Duration = Duration::from_secs(1);
+/// Answers of the new version that a step needs before the next one.
+const STEP_ANSWERS: u64 = 20;
+/// Fraction of an alarm's threshold from which the next step waits.
+const MAX_SUSPICION: f64 = 0.5;
+/// Fewest requests by which a version is judged to leave requests unanswered.
+const UNRESPONSIVE_REQUESTS: u64 = 10;
+
 /// Bounds from the settings.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Options {
@@ -95,35 +111,78 @@
 /// State of one running rollout at the leader.
 #[derive(Debug)]
 pub struct Decider {
+    service: Arc<str>,
     revision: Revision,
+    duration: Duration,
+    options: Options,
+    started_at: Timestamp,
+    elapsed_at_start: Duration,
+    progress: Duration,
+    ledger: Ledger,
+    comparison: Comparison,
+    schedule: Schedule,
+    /// Requests and answers of the new version when the present step began.
+    step_base: Tally,
     share: Share,
-    service: Arc<str>,
+    end: Option<Decision>,
 }
 
 impl Decider {
     /// Continues a rollout of `service` from its committed elapsed time.
     #[must_use]
-    pub fn new(_now: Timestamp, service: Arc<str>, rollout: &Rollout, _options: Options) -> Self {
+    pub fn new(now: Timestamp, service: Arc<str>, rollout: &Rollout, options: Options) -> Self {
         Self {
+            service,
             revision: rollout.revision,
+            duration: rollout.duration,
+            options,
+            started_at: now,
+            elapsed_at_start: rollout.elapsed,
+            progress: rollout.elapsed,
+            ledger: Ledger::new(now),
+            comparison: Comparison::default(),
+            schedule: Schedule::new(rollout.duration),
+            step_base: Tally::default(),
             share: Share::ZERO,
-            service,
+            end: None,
         }
     }
 
     /// Merges an entry's report. Counts are cumulative for one boot of one entry, so a lost, repeated
-    /// or delayed report does no harm.
-    pub fn record(&mut self, _now: Timestamp, _entry: &id::Process, _report: &Report) {}
+    /// or delayed report does no harm. A report of another service or revision is ignored.
+    pub fn record(&mut self, now: Timestamp, entry: &id::Process, report: &Report) {
+        if report.service == self.service && report.revision == self.revision {
+            self.ledger.record(now, entry, report, &mut self.comparison);
+        }
+    }
 
     /// Takes a step. `entries` are those connected now, `ready` counts the ready backend servers of
     /// the new version. An end, once returned, is returned by every later step.
     #[must_use]
-    pub fn step(
-        &mut self,
-        _now: Timestamp,
-        _entries: &BTreeSet<id::Process>,
-        _ready: usize,
-    ) -> Step {
+    pub fn step(&mut self, now: Timestamp, entries: &BTreeSet<id::Process>, ready: usize) -> Step {
+        let elapsed = self.elapsed(now);
+        self.ledger.connect(now, entries);
+        let finding = self.comparison.evaluate(now);
+        if self.end.is_none() {
+            if let Some(finding) = finding {
+                self.end = Some(Decision::RollBack(self.reason(finding)));
+            } else if elapsed >= self.duration {
+                self.end = Some(Decision::RollBack(Reason::Deadline { ready }));
+            } else if self.is_complete(now, entries, ready) {
+                self.end = Some(Decision::Complete);
+            }
+        }
+        self.share = match &self.end {
+            Some(Decision::Complete) => Share::FULL,
+            Some(_) => Share::ZERO,
+            None => self.next_share(now, entries, ready),
+        };
+        let command = self.end.clone().or_else(|| {
+            (elapsed >= self.progress + PROGRESS_INTERVAL).then(|| {
+                self.progress = elapsed;
+                Decision::Progress(elapsed)
+            })
+        });
         Step {
             lease: Lease {
                 service: Arc::clone(&self.service),
@@ -131,7 +190,7 @@
                 share: self.share,
                 lasts: LIFETIME,
             },
-            command: None,
+            command,
         }
     }
 
@@ -143,9 +202,101 @@
 
     /// Returns what the decision rests on, for log lines.
     #[must_use]
-    pub fn evidence(&self) -> Evidence {
-        Evidence::default()
+    pub fn evidence(&self, now: Timestamp) -> Evidence {
+        let (old, new) = (self.ledger.old(), self.ledger.new_version());
+        let total = self.comparison.total();
+        Evidence {
+            new_sent: new.sent,
+            all_sent: new.sent.saturating_add(old.sent),
+            answered: total.answered,
+            bad: total.bad,
+            expected: self.comparison.expected(),
+            suspicion: self.comparison.suspicion(),
+            elapsed: self.elapsed(now),
+        }
     }
+
+    fn elapsed(&self, now: Timestamp) -> Duration {
+        self.elapsed_at_start + now.saturating_sub(self.started_at)
+    }
+
+    fn reason(&self, finding: Finding) -> Reason {
+        match finding {
+            Finding::Worse {
+                route,
+                count,
+                expected,
+            } => Reason::Worse {
+                route,
+                answered: count.answered,
+                bad: count.bad,
+                expected,
+            },
+            Finding::Excess => Reason::Excess {
+                bad: self.comparison.total().bad,
+                expected: self.comparison.expected(),
+            },
+        }
+    }
+
+    fn is_complete(&self, now: Timestamp, entries: &BTreeSet<id::Process>, ready: usize) -> bool {
+        ready > 0
+            && self.share == Share::FULL
+            && self.schedule.is_full()
+            && self.gate(now, entries) == Gate::Open
+            && self.ledger.has_left_old(now, entries)
+    }
+
+    fn next_share(
+        &mut self,
+        now: Timestamp,
+        entries: &BTreeSet<id::Process>,
+        ready: usize,
+    ) -> Share {
+        if ready == 0 || !self.has_collected(now, entries) {
+            return Share::ZERO;
+        }
+        let gate = self.gate(now, entries);
+        let elapsed = self.elapsed(now);
+        if self.schedule.advance(elapsed, self.ledger.peak(now), gate) {
+            self.step_base = self.ledger.new_version();
+        }
+        let share = self.schedule.share();
+        if self.schedule.is_near_end() {
+            return Share::from_fraction(share);
+        }
+        Share::from_fraction(share.min(self.ledger.allowed_share(now, &self.options)))
+    }
+
+    /// Returns whether the counts of the entries are known, after a change of the leader.
+    fn has_collected(&self, now: Timestamp, entries: &BTreeSet<id::Process>) -> bool {
+        let age = now.saturating_sub(self.started_at);
+        age >= 2 * INTERVAL && (self.ledger.have_reported(entries) || age >= 5 * INTERVAL)
+    }
+
+    fn gate(&self, now: Timestamp, entries: &BTreeSet<id::Process>) -> Gate {
+        let (old, new) = (self.ledger.old(), self.ledger.new_version());
+        if is_unresponsive(old, new) {
+            return Gate::Shut;
+        }
+        let step = new.since(self.step_base);
+        let has_answers =
+            step.answered >= STEP_ANSWERS || step.answered.saturating_mul(2) >= step.sent;
+        let is_known = self.ledger.is_in_force(now, entries, self.share);
+        if has_answers && is_known && self.comparison.suspicion() < MAX_SUSPICION {
+            Gate::Open
+        } else {
+            Gate::Waiting
+        }
+    }
+}
+
+/// Returns whether the new version leaves far more requests unanswered than the old one. Such
+/// requests give no answer that could be counted as bad.
+fn is_unresponsive(old: Tally, new: Tally) -> bool {
+    #[allow(clippy::cast_precision_loss)]
+    let answered = |tally: Tally| tally.answered as f64 / tally.sent.max(1) as f64;
+    new.sent >= UNRESPONSIVE_REQUESTS && answered(new) < 0.3 * answered(old)
 }
 
 /// What a decision rests on.
