feat(gateway): orders of rollouts, and the leader's decisions about them

Change: POST /rollouts and GET /rollouts/SERVICE; an order applies only to the revision that was read after it arrived, and is acknowledged once the connected entries hold its state. The leader runs a decider for each running rollout in a task of its own, because the other tasks of the leader wait for commits and the leases would run out meanwhile. Bounds come from the settings. The three test deployments name the new field of Setup.

--- a/crates/celerycove-gateway/src/control.rs
+++ b/crates/celerycove-gateway/src/control.rs
@@ -8,6 +8,7 @@
 mod bootstrap;
 mod crashes;
 mod maintenance;
+mod rollout;
 mod standstill;
 
 pub(crate) use maintenance::member_candidates;
@@ -97,6 +98,7 @@
     maintenance: Mutex<maintenance::State>,
     bootstrap: Mutex<bootstrap::Bootstrap>,
     standstill: Mutex<standstill::Standstill>,
+    rollouts: Mutex<rollout::Rollouts>,
     /// Limits the lines about requests without room for their bodies.
     no_room_lines: Mutex<Limit>,
 }
@@ -148,6 +150,7 @@
         maintenance: Mutex::default(),
         bootstrap: Mutex::new(bootstrap::Bootstrap::new(&setup)),
         standstill: Mutex::default(),
+        rollouts: Mutex::default(),
         no_room_lines: Mutex::new(Limit::new(NO_ROOM_LINES)),
         setup,
     });
@@ -160,6 +163,8 @@
     control.connect(&control.setup.seed_processes());
     let listener = http::bind(address)?;
     let server = tokio::spawn(http::serve(listener, control.clone(), stop));
+    let rollouts = control.clone();
+    tokio::spawn(async move { rollouts.run_rollouts().await });
     tokio::spawn(async move { control.run_maintenance().await });
     Ok(server)
 }
@@ -382,6 +387,9 @@
         let Some(replica) = self.replica() else {
             return Reply::NotLeader(None);
         };
+        if self.leader_term().is_some() && self.repeats_rolled_back(&command) {
+            return Reply::Repeated;
+        }
         match replica
             .propose(LogCommand::Fleet(command), COMMIT_TIMEOUT)
             .await
@@ -566,7 +574,12 @@
             Frame::Crashes(evidence) => self.merge_crashes(peer, *evidence),
             Frame::InitialMembers(members) => self.bootstrap_log(&members),
             Frame::Demand(counts) => lock(&self.demand).record(clock::now(), peer, counts),
-            Frame::Hello(_) | Frame::Ping | Frame::Reply(..) | Frame::TotalDemand(..) => {}
+            Frame::RolloutReports(reports) => self.merge_rollout_reports(peer, &reports),
+            Frame::Hello(_)
+            | Frame::Ping
+            | Frame::Reply(..)
+            | Frame::TotalDemand(..)
+            | Frame::RolloutLeases(_) => {}
         }
     }
 
--- a/crates/celerycove-gateway/src/control/api.rs
+++ b/crates/celerycove-gateway/src/control/api.rs
@@ -29,16 +29,16 @@
     setup::Role,
 };
 
-/// How long the response to a backend server that leaves waits for the acknowledgements of all
-/// entries. An entry that takes longer is about to lose its connection.
-const ACKNOWLEDGE_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long the response to a backend server that leaves, or to the order of a rollout, waits for the
+/// acknowledgements of all entries. An entry that takes longer is about to lose its connection.
+pub(super) const ACKNOWLEDGE_TIMEOUT: Duration = Duration::from_millis(500);
 /// How long a request to a store may take.
 const STORE_REQUEST_TIMEOUT: Duration = Duration::from_millis(500);
 /// How long the state of a retirement may take to find out; shorter than the second after which an
 /// operator tries another instance.
 const RETIREMENT_STATE_TIMEOUT: Duration = Duration::from_millis(900);
-/// How often an order is tried if others for the same data centre come in between.
-const MAX_ORDER_ATTEMPTS: usize = 3;
+/// How often an order is tried if others for the same data centre or service come in between.
+pub(super) const MAX_ORDER_ATTEMPTS: usize = 3;
 /// The most characters of a rejected heartbeat's name that are logged.
 const MAX_LOGGED_CHARS: usize = 80;
 /// `Retry-After` for a request that finds no room for its body: longer than most commits take.
@@ -128,6 +128,8 @@
             Operation::Restore(data_centre) => self.set_evacuated(&data_centre, false).await,
             Operation::Retire(instance) => self.retire(&instance).await,
             Operation::RetireState(instance) => self.retirement_state(&instance).await,
+            Operation::StartRollout => self.start_rollout(body).await,
+            Operation::RolloutState(service) => self.rollout_state(&service).await,
         }
     }
 
@@ -180,6 +182,9 @@
         let backend = relayed.beat.backend.clone();
         let mut update = self.empty_update();
         update.heartbeats = vec![relayed];
+        // An entry acknowledges an update once it has the state of its index, which this need not
+        // wait for.
+        update.index = 0;
         let number = self.broadcaster.publish_numbered(update);
         let acknowledged = self
             .broadcaster
@@ -347,6 +352,6 @@
     http::text_response(StatusCode::BAD_REQUEST, reason)
 }
 
-fn unavailable(reason: &'static str) -> Response<Body> {
+pub(super) fn unavailable(reason: &'static str) -> Response<Body> {
     http::text_response(StatusCode::SERVICE_UNAVAILABLE, reason)
 }
--- a/crates/celerycove-gateway/src/dialect.rs
+++ b/crates/celerycove-gateway/src/dialect.rs
@@ -6,7 +6,8 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use celerycove_fleet::{Config, registry::Heartbeat};
+use celerycove_fleet::{Config, Rollout, config::ServiceName, registry::Heartbeat};
+use celerycove_rollout::order::Version;
 use celerycove_route::{direct::Load, prefix::Part};
 use celerycove_types::id;
 use hyper::{HeaderMap, Method, Uri, http::request, http::response};
@@ -98,13 +99,31 @@
     Retire(Arc<str>),
     /// Returns the progress of such a retirement.
     RetireState(Arc<str>),
+    /// Starts the rollout of a service's version; the body holds the order.
+    StartRollout,
+    /// Returns the state of a service's last rollout.
+    RolloutState(ServiceName),
+}
+
+/// The order to move the traffic of a service to a version.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RolloutOrder {
+    /// The service.
+    pub service: ServiceName,
+    /// The version.
+    pub to: Version,
+    /// The time from the order to its deadline.
+    pub duration: Duration,
 }
 
 impl Operation {
     /// Whether the operation changes what the fleet does, so that carrying it out late can do harm.
     #[must_use]
     pub fn changes_state(&self) -> bool {
-        !matches!(self, Self::Read | Self::RetireState(_))
+        !matches!(
+            self,
+            Self::Read | Self::RetireState(_) | Self::RolloutState(_)
+        )
     }
 }
 
@@ -143,4 +162,14 @@
 
     /// Writes the response body that states whether a retirement is completed.
     fn retirement_body(&self, completed: bool) -> Bytes;
+
+    /// Reads the order of a rollout. The caller checks that its values are in range.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a field is missing or malformed.
+    fn rollout_order(&self, body: &[u8]) -> Result<RolloutOrder, MalformedField>;
+
+    /// Writes the response body that states how far a rollout is.
+    fn rollout_body(&self, rollout: &Rollout) -> Bytes;
 }
--- a/crates/celerycove-gateway/src/message.rs
+++ b/crates/celerycove-gateway/src/message.rs
@@ -72,6 +72,13 @@
     /// Asks a control instance for the whole committed state: the sender holds none, or one that
     /// the last step doesn't start from.
     RequestView,
+    /// Shares of requests that entries may send to new versions, from the control leader to all
+    /// entries.
+    #[serde(rename = "RolloutLeases")]
+    RolloutLeases(Vec<celerycove_rollout::Lease>),
+    /// What an entry has sent to old and new versions and how they answered, for the control leader.
+    #[serde(rename = "RolloutReports")]
+    RolloutReports(Vec<celerycove_rollout::Report>),
 }
 
 /// A request from one process to another.
@@ -111,6 +118,8 @@
     NotLeader(Option<id::Process>),
     /// The request may or may not have been carried out.
     Unknown,
+    /// The command repeats an order that was carried out, and nothing was done.
+    Repeated,
 }
 
 /// A heartbeat of a backend server that is passed on to other processes.
@@ -159,10 +168,11 @@
 /// What a control instance sends to other processes on each change and periodically.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Update {
-    /// Numbers the updates of one sender that are to be acknowledged; [`UNNUMBERED`] for others.
+    /// Numbers the updates of one sender that are to be acknowledged; [`UNNUMBERED`] for others. An
+    /// entry acknowledges one as soon as it also has the state of its index.
     #[serde(rename = "number")]
     pub sequence: SequenceNumber,
-    /// The index of the newest state that the sender has applied.
+    /// The index of the newest state that the sender has applied; zero if that does not matter.
     pub index: u64,
     /// The committed state, if it changed or was requested.
     pub view: Option<ViewUpdate>,
--- a/crates/celerycove-gateway/src/setup.rs
+++ b/crates/celerycove-gateway/src/setup.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, path::PathBuf, sync::Arc, time::Duration};
 
 use celerycove_disk::Store as Disk;
+use celerycove_rollout::decider as rollout;
 use celerycove_types::id;
 use serde::{Deserialize, Serialize};
 
@@ -64,6 +65,13 @@
     pub replacement: Duration,
 }
 
+/// Bounds on rollouts where the settings name none.
+pub const DEFAULT_ROLLOUT: rollout::Options = rollout::Options {
+    max_share: 0.1,
+    slack: 50,
+    rollback: Duration::from_secs(5),
+};
+
 /// The configuration of a process at its start.
 #[derive(Debug, Clone)]
 pub struct Setup {
@@ -91,6 +99,8 @@
     pub tolerated_failures: usize,
     /// Time limits that the deployment guarantees.
     pub bounds: TimeLimits,
+    /// Bounds on rollouts of service versions.
+    pub rollout: rollout::Options,
     /// What the process may hold in memory.
     pub memory: memory::Budget,
 }
--- a/crates/celerycove-gateway/src/store.rs
+++ b/crates/celerycove-gateway/src/store.rs
@@ -305,6 +305,8 @@
             | Frame::Hello(_)
             | Frame::Ping
             | Frame::Crashes(_)
+            | Frame::RolloutLeases(_)
+            | Frame::RolloutReports(_)
             | Frame::Reply(..) => {}
         }
     }
--- a/crates/celerycove-gateway/tests/callers/dialect.rs
+++ b/crates/celerycove-gateway/tests/callers/dialect.rs
@@ -5,12 +5,12 @@
 
 use bytes::Bytes;
 use celerycove_fleet::{
-    Config,
+    Config, Rollout,
     config::{Kind, Limits, Organisation, Route, Service, Target},
     registry::{Heartbeat, Stage},
 };
 use celerycove_gateway::dialect::{
-    Attempt, Dialect, MalformedField, Operation, RequestMetadata, ResponseMetadata,
+    Attempt, Dialect, MalformedField, Operation, RequestMetadata, ResponseMetadata, RolloutOrder,
 };
 use celerycove_types::id;
 use hyper::{
@@ -74,6 +74,10 @@
             ("PUT", "/config") => Some(Operation::Configure),
             ("GET", "/config") => Some(Operation::Read),
             ("PUT", path) => Some(Operation::Beat(path.strip_prefix("/beat/")?.into())),
+            ("POST", "/rollouts") => Some(Operation::StartRollout),
+            ("GET", path) if path.starts_with("/rollouts/") => Some(Operation::RolloutState(
+                path.strip_prefix("/rollouts/")?.into(),
+            )),
             ("POST", path) => Some(match path.strip_prefix("/retire/") {
                 Some(instance) => Operation::Retire(instance.into()),
                 None => Operation::Evacuate(path.strip_prefix("/evacuations/")?.into()),
@@ -131,16 +135,13 @@
                 "version" => config.version = value.parse().map_err(|_| "no version")?,
                 "route" => config.routes.push(Arc::new(route(value)?)),
                 "limits" => config.limits = limits(value)?,
+                "service" => config.services.push(service(value)),
                 _ => return Err(format!("unknown line {name}")),
             }
         }
-        config.services.push(Service {
-            name: "app".into(),
-            max_connections: 100,
-            cold_rate: 0.0,
-            event_tokens: Some(2),
-            cache_tokens: None,
-        });
+        if config.services.is_empty() {
+            config.services.push(service("app"));
+        }
         config.organisations.push(Organisation {
             name: "zilina".into(),
             keys: vec!["key-1".to_owned()],
@@ -154,6 +155,37 @@
     fn retirement_body(&self, completed: bool) -> Bytes {
         completed.to_string().into()
     }
+
+    /// Reads `SERVICE VERSION MILLISECONDS`.
+    fn rollout_order(&self, body: &[u8]) -> Result<RolloutOrder, MalformedField> {
+        let text = String::from_utf8_lossy(body);
+        let [service, to, duration] = text.split(' ').collect::<Vec<_>>()[..] else {
+            return Err(MalformedField { field: "rollout" });
+        };
+        let duration = duration
+            .parse()
+            .map_err(|_| MalformedField { field: "duration" })?;
+        Ok(RolloutOrder {
+            service: service.into(),
+            to: to.into(),
+            duration: Duration::from_millis(duration),
+        })
+    }
+
+    /// Writes `STAGE VERSION`.
+    fn rollout_body(&self, rollout: &Rollout) -> Bytes {
+        format!("{:?} {}", rollout.stage, rollout.to).into()
+    }
+}
+
+fn service(name: &str) -> Service {
+    Service {
+        name: name.into(),
+        max_connections: 100,
+        cold_rate: 0.0,
+        event_tokens: Some(2),
+        cache_tokens: None,
+    }
 }
 
 /// Parses `HEAD_BYTES IDLE_MS`.
--- a/crates/celerycove-gateway/tests/callers/fleet.rs
+++ b/crates/celerycove-gateway/tests/callers/fleet.rs
@@ -14,7 +14,7 @@
     Setup, control, entry,
     memory::{Account, Budget},
     metrics::Metrics,
-    setup::{ListenAddresses, Role, TimeLimits},
+    setup::{DEFAULT_ROLLOUT, ListenAddresses, Role, TimeLimits},
     store,
 };
 use http_body_util::{BodyExt, Full};
@@ -213,6 +213,7 @@
             bootstrap: true,
             data_dir: data.map(|name| folder.join(name)),
             tolerated_failures: 1,
+            rollout: DEFAULT_ROLLOUT,
             bounds: TimeLimits {
                 grace_period,
                 replacement: Duration::from_secs(4),
--- a/crates/celerycove-gateway/tests/crashes/deployment.rs
+++ b/crates/celerycove-gateway/tests/crashes/deployment.rs
@@ -16,7 +16,7 @@
     Setup, control, entry,
     memory::{Account, Budget, DEFAULT_LIMIT_BYTES},
     metrics::Metrics,
-    setup::{ListenAddresses, Role, TimeLimits},
+    setup::{DEFAULT_ROLLOUT, ListenAddresses, Role, TimeLimits},
 };
 use http_body_util::{BodyExt, Full};
 use hyper::{Request, client::conn::http1::handshake};
@@ -123,6 +123,7 @@
         data_dir,
         memory: Budget::new(DEFAULT_LIMIT_BYTES, role).expect("a budget"),
         tolerated_failures: 1,
+        rollout: DEFAULT_ROLLOUT,
         bounds: TimeLimits {
             grace_period: Duration::from_secs(8),
             replacement: Duration::from_secs(4),
--- a/crates/celerycove-gateway/tests/stores/deployment.rs
+++ b/crates/celerycove-gateway/tests/stores/deployment.rs
@@ -12,7 +12,7 @@
 use celerycove_gateway::{
     Setup, control,
     memory::{Account, Budget},
-    setup::{ListenAddresses, Role, TimeLimits},
+    setup::{DEFAULT_ROLLOUT, ListenAddresses, Role, TimeLimits},
     store,
 };
 use tokio::{runtime::Runtime, sync::watch};
@@ -165,6 +165,7 @@
             bootstrap,
             data_dir: Some(data_dir),
             tolerated_failures: 1,
+            rollout: DEFAULT_ROLLOUT,
             bounds: TimeLimits {
                 grace_period: Duration::from_secs(8),
                 replacement: REPLACEMENT_TIME,
