feat(gateway): rollouts at the entries

An update is acknowledged as soon as the state of its index is in force, so that the acknowledgement of an order means that the entry knows it. The update about a leaving server asks for no state and is acknowledged as before.

--- a/crates/celerycove-gateway/src/entry.rs
+++ b/crates/celerycove-gateway/src/entry.rs
@@ -14,6 +14,7 @@
 mod refuse;
 mod relay;
 mod response;
+mod rollout;
 mod serve;
 mod socket;
 mod stop;
@@ -41,7 +42,7 @@
     http::{self, Body},
     link::{self, Connections, Handler, Sender, lock},
     memory::Account,
-    message::{Frame, Peer, RelayedHeartbeat, UNNUMBERED, Update},
+    message::{Frame, Peer, RelayedHeartbeat, Update},
     metrics::Metrics,
     setup::Role,
 };
@@ -71,6 +72,7 @@
     turns: Arc<turns::Client>,
     metrics: Arc<Metrics>,
     crashes: crashes::Crashes,
+    rollouts: rollout::Rollouts,
     /// Set once the entry is asked to stop.
     stop: OnceLock<stop::Plan>,
     /// Notified shortly before the process ends: requests that are still open get an answer then.
@@ -124,6 +126,7 @@
         connections: connections.clone(),
         metrics,
         crashes: crashes::Crashes::default(),
+        rollouts: rollout::Rollouts::default(),
         stop: OnceLock::new(),
         grace_ended: Notify::new(),
         recent_programs: Mutex::default(),
@@ -152,6 +155,8 @@
     tokio::spawn(async move { reporting.send_reports().await });
     let counting = entry.clone();
     tokio::spawn(async move { counting.send_demand().await });
+    let rollouts = entry.clone();
+    tokio::spawn(async move { rollouts.send_rollout_reports().await });
     let crashes = entry.clone();
     tokio::spawn(async move { crashes.maintain_crashes().await });
     Ok(Running {
@@ -204,6 +209,8 @@
         if changes.view
             && let Some(view) = self.fleet_state.view()
         {
+            self.rollouts
+                .follow(clock::now(), &view.fleet, &self.metrics);
             let config = &view.fleet.config;
             self.rate_limiter
                 .configure(config, view.fleet.entries.len());
@@ -387,13 +394,12 @@
     fn receive(&self, _peer: &id::Process, frame: Frame, sender: &Sender) {
         match frame {
             Frame::Update(update) => {
-                let number = update.sequence;
+                let (number, index) = (update.sequence, update.index);
                 if self.apply_update(*update) {
                     sender.send(&Frame::RequestView);
                 }
-                if number != UNNUMBERED {
-                    sender.send(&Frame::Acknowledge(number));
-                }
+                let known = self.fleet_state.view().map(|view| view.index);
+                self.rollouts.acknowledge(known, index, number, sender);
             }
             Frame::Evidence(reports) => {
                 let now = clock::now();
@@ -406,6 +412,7 @@
             Frame::TotalDemand(data_centre, total) => {
                 lock(&self.servers).merge_demand(clock::now(), data_centre, total);
             }
+            Frame::RolloutLeases(leases) => self.rollouts.accept(clock::now(), &leases),
             _ => {}
         }
     }
--- a/crates/celerycove-gateway/src/entry/exchange.rs
+++ b/crates/celerycove-gateway/src/entry/exchange.rs
@@ -8,7 +8,8 @@
     config::{Route, ServiceName},
 };
 use celerycove_quarantine::digest::{Digests, Subject};
-use celerycove_route::direct::{Outcome, Request as RouteRequest, Selection, Versions};
+use celerycove_rollout::{guide::Answer, order::Version};
+use celerycove_route::direct::{Outcome, Selection};
 use celerycove_types::{Timestamp, id};
 use http_body_util::Full;
 use hyper::{
@@ -22,6 +23,7 @@
     crashes::Broken,
     pool::{PooledConnection, SendError},
     response::{BufferError, collect, is_delimited, keeps_alive},
+    rollout::Ticket,
 };
 use crate::{
     clock,
@@ -81,6 +83,8 @@
     pub(super) digests: Option<Digests>,
     /// Whether a quarantined request is tried, on one backend server only.
     pub(super) is_trial: bool,
+    /// The version on which it failed last.
+    pub(super) failed_on: Option<Version>,
 }
 
 /// A response whose head has arrived, with the connection that its body is read from.
@@ -93,6 +97,7 @@
     pub(super) connection: PooledConnection,
     /// When the request was sent.
     pub(super) sent_at: Timestamp,
+    pub(super) ticket: Ticket,
 }
 
 /// A response that was read to its end.
@@ -242,16 +247,6 @@
         }
     }
 
-    fn choose_backend(&mut self, now: Timestamp) -> Option<Selection> {
-        let route_request = RouteRequest {
-            affinity: self.affinity,
-            prompt: &self.call.prompt,
-            excluded: &self.excluded,
-            versions: Versions::Any,
-        };
-        lock(&self.entry.servers).select(now, &self.service, &route_request)
-    }
-
     async fn attempt(&mut self, choice: Selection, last_event: Option<u64>) -> AttemptOutcome {
         let key = (choice.backend.clone(), choice.incarnation);
         let connection = self.entry.pool.acquire(key, choice.address).await;
@@ -271,12 +266,21 @@
                 return AttemptOutcome::NotRun;
             }
         };
+        if !self.may_still_run_on(&choice) {
+            let detail = &choice.version;
+            self.record_attempt(&choice, Outcome::Abandoned, "version withdrawn", detail);
+            return AttemptOutcome::NotRun;
+        }
         let guard = InFlightGuard::new(self, &choice);
+        let ticket = self.begin_ticket(&choice);
         let sent_at = clock::now();
         let response = tokio::time::timeout(self.head_timeout(), connection.send(request)).await;
         guard.disarm();
         match response {
-            Ok(Ok(response)) => self.classify(choice, response.into_parts(), connection, sent_at),
+            Ok(Ok(response)) => {
+                let response = response.into_parts();
+                self.classify(choice, response, connection, sent_at, ticket)
+            }
             Ok(Err(SendError::NotSent)) => {
                 // A pooled connection that was closed while idle is no sign of a failed backend
                 // server.
@@ -292,18 +296,20 @@
             Ok(Err(SendError::Broken(error))) => {
                 self.record_attempt(&choice, Outcome::Failed, "broken", &error);
                 self.record_break(&choice, sent_at);
+                self.end_ticket(ticket, Answer::Failed);
                 self.exclude_after_send(choice);
                 AttemptOutcome::MayHaveRun(Refusal::Failed)
             }
             Err(_) => {
                 // If the request's own deadline expired, the backend server is not to blame.
                 let expired = self.deadline <= clock::now();
-                let outcome = if expired {
-                    Outcome::Abandoned
+                let (outcome, answer) = if expired {
+                    (Outcome::Abandoned, ticket.good())
                 } else {
-                    Outcome::Failed
+                    (Outcome::Failed, Answer::Failed)
                 };
                 self.record_attempt(&choice, outcome, "no answer in time", &"silence");
+                self.end_ticket(ticket, answer);
                 self.exclude_after_send(choice);
                 AttemptOutcome::MayHaveRun(Refusal::TimedOut)
             }
@@ -337,12 +343,14 @@
         (head, body): (Parts, Incoming),
         connection: PooledConnection,
         sent_at: Timestamp,
+        mut ticket: Ticket,
     ) -> AttemptOutcome {
         let metadata = self.entry.dialect.response_metadata(&head);
         // The response of another request decides nothing about this one, whatever it states.
         if let Some(answered) = &metadata.request_id
             && *answered != self.request
         {
+            self.end_ticket(ticket, Answer::Failed);
             return self.reject_foreign_response(choice, head.status);
         }
         let misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
@@ -363,9 +371,11 @@
             return AttemptOutcome::NotRun;
         }
         if metadata.request_id.is_none() {
+            self.end_ticket(ticket, Answer::Failed);
             return self.reject_foreign_response(choice, head.status);
         }
         self.sent += 1;
+        ticket.note_head(head.status.is_server_error());
         if let Some(load) = metadata.load {
             let mut servers = lock(&self.entry.servers);
             servers.record_load(clock::now(), &self.service, &choice.backend, load);
@@ -377,6 +387,7 @@
             body,
             connection,
             sent_at,
+            ticket,
         }))
     }
 
@@ -439,6 +450,7 @@
             body,
             connection,
             sent_at,
+            ticket,
         } = exchange;
         let left = self.deadline.saturating_sub(clock::now());
         let guard = InFlightGuard::new(self, &choice);
@@ -457,15 +469,20 @@
             }
             Err(BufferError::Interrupted) => {
                 self.record_attempt(&choice, Outcome::Failed, "broken off", &head.status);
-                if is_in_time {
+                let answer = if is_in_time {
                     self.record_break(&choice, sent_at);
-                }
+                    Answer::Failed
+                } else {
+                    ticket.good()
+                };
+                self.end_ticket(ticket, answer);
                 self.excluded.push(choice.backend);
                 return Err(BufferError::Interrupted);
             }
         };
         connection.finish(keeps_alive(&head), metadata.idle_timeout);
         if head.status.is_server_error() {
+            self.end_ticket(ticket, Answer::Failed);
             self.record_attempt(
                 &choice,
                 Outcome::Erred,
@@ -473,6 +490,8 @@
                 &head.status,
             );
         } else {
+            let answer = ticket.good();
+            self.end_ticket(ticket, answer);
             self.record_attempt(&choice, Outcome::Answered, "answered", &head.status);
             self.record_whole_answer(&head);
         }
--- a/crates/celerycove-gateway/src/entry/relay.rs
+++ b/crates/celerycove-gateway/src/entry/relay.rs
@@ -4,6 +4,7 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
+use celerycove_rollout::guide::Answer;
 use celerycove_route::direct::Outcome;
 use celerycove_turn::{End, Keep};
 use celerycove_types::{Timestamp, id};
@@ -167,10 +168,12 @@
             mut body,
             connection,
             sent_at,
+            mut ticket,
         } = exchange;
         let guard = InFlightGuard::new(&self.dispatch, &choice);
         let mut splitter = Splitter::new(self.dispatch.entry.connections.account());
         let mut last_event_at = clock::now();
+        let mut has_data = false;
         let stop = loop {
             // Checked also while data arrives: it may never end, and need not consist of events.
             if let Some(stop) = self.overdue(last_event_at) {
@@ -195,6 +198,10 @@
                     let Some(data) = frame.data_ref() else {
                         continue;
                     };
+                    if !has_data {
+                        ticket.note_first_data(clock::now());
+                        has_data = true;
+                    }
                     let event_count = self.event_count;
                     if let Err(stop) = self.forward_events(&mut splitter, data, sender).await {
                         break stop;
@@ -206,6 +213,13 @@
             }
         };
         guard.disarm();
+        let answer = match stop {
+            Stop::Whole | Stop::TimedOut | Stop::CallerLeft if has_data => ticket.good(),
+            Stop::Whole | Stop::TimedOut => ticket.good_without_data(),
+            Stop::Broken(NO_ROOM) | Stop::CallerLeft => Answer::Abandoned,
+            Stop::Broken(_) => Answer::Failed,
+        };
+        self.dispatch.end_ticket(ticket, answer);
         let outcome = match stop {
             Stop::Whole => Outcome::Answered,
             Stop::Broken(_) => Outcome::Failed,
--- a/crates/celerycove-gateway/src/entry/serve.rs
+++ b/crates/celerycove-gateway/src/entry/serve.rs
@@ -303,6 +303,7 @@
             tries: 0,
             digests: None,
             is_trial: false,
+            failed_on: None,
         })
     }
 }
--- a/crates/celerycove-gateway/src/metrics.rs
+++ b/crates/celerycove-gateway/src/metrics.rs
@@ -47,6 +47,9 @@
     backend_crashes: Counter<u64>,
     quarantined_requests: Gauge<u64>,
     quarantine_refusals: Counter<u64>,
+    rollout_requests: Counter<u64>,
+    rollout_bad: Counter<u64>,
+    rollout_share: Gauge<f64>,
     log_lines_dropped: Gauge<u64>,
     log_output: std::sync::OnceLock<Arc<celerycove_log::Counters>>,
     memory_bytes: Gauge<u64>,
@@ -80,6 +83,9 @@
             backend_crashes: meter.u64_counter("celerycove_backend_crashes").build(),
             quarantined_requests: meter.u64_gauge("celerycove_quarantined_requests").build(),
             quarantine_refusals: meter.u64_counter("celerycove_quarantine_refusals").build(),
+            rollout_requests: meter.u64_counter("celerycove_rollout_requests").build(),
+            rollout_bad: meter.u64_counter("celerycove_rollout_bad").build(),
+            rollout_share: meter.f64_gauge("celerycove_rollout_share").build(),
             log_lines_dropped: meter.u64_gauge("celerycove_log_lines_dropped").build(),
             memory_bytes: meter.u64_gauge("celerycove_memory_bytes").build(),
             memory_limit_bytes: meter.u64_gauge("celerycove_memory_limit_bytes").build(),
@@ -170,6 +176,23 @@
         self.quarantine_refusals.add(1, &[]);
     }
 
+    /// Counts requests that were sent to the old or the new versions during a rollout, and bad answers
+    /// to them.
+    pub fn record_rollout(&self, service: &str, side: &'static str, requests: u64, bad: u64) {
+        let labels = [
+            KeyValue::new("service", service.to_owned()),
+            KeyValue::new("side", side),
+        ];
+        self.rollout_requests.add(requests, &labels);
+        self.rollout_bad.add(bad, &labels);
+    }
+
+    /// Records the share of a service's requests that may go to the new version.
+    pub fn record_rollout_share(&self, service: &str, share: f64) {
+        let label = [KeyValue::new("service", service.to_owned())];
+        self.rollout_share.record(share, &label);
+    }
+
     fn encode(&self) -> Result<Vec<u8>, Error> {
         if let Some(output) = self.log_output.get() {
             self.log_lines_dropped.record(output.counts().1, &[]);
