--- a/crates/celerycove-gateway/src/control/rollout.rs
+++ b/crates/celerycove-gateway/src/control/rollout.rs
@@ -61,6 +61,9 @@
     is_verdict_logged: bool,
     /// Whether a command about it is being committed.
     is_committing: bool,
+    /// The share in force at each entry and its requests on the old versions, as reported last; for log
+    /// lines.
+    reported: BTreeMap<id::Process, (Share, u32)>,
 }
 
 /// A decision that is to be committed.
@@ -115,6 +118,7 @@
                     evidence_logged_at: now,
                     is_verdict_logged: false,
                     is_committing: false,
+                    reported: BTreeMap::new(),
                 };
                 self.running.insert(service.clone(), running);
             }
@@ -152,8 +156,12 @@
         }
         if now >= self.evidence_logged_at + EVIDENCE_LOG_INTERVAL {
             self.evidence_logged_at = now;
+            self.reported.retain(|entry, _| entries.contains(entry));
+            let reported = self.reported.values();
+            let at_share = reported.clone().filter(|(in_force, _)| *in_force == share);
             log::info!(target: "rollout", service, revision = self.revision,
-                share = share.fraction(), entries = entries.len(), ready,
+                share = share.fraction(), entries = entries.len(), at_share = at_share.count(),
+                old_in_flight = reported.map(|(_, in_flight)| in_flight).sum::<u32>(), ready,
                 evidence:? = self.decider.evidence(now); "the rollout is running");
         }
         step
@@ -321,6 +329,8 @@
             let running = rollouts.running.get_mut(&report.service);
             if let Some(running) = running.filter(|known| known.revision == report.revision) {
                 running.decider.record(now, entry, report);
+                let reported = (report.share_in_force, report.old_in_flight);
+                running.reported.insert(entry.clone(), reported);
             }
         }
     }
