--- a/crates/celerycove-gateway/src/entry/rollout.rs
+++ b/crates/celerycove-gateway/src/entry/rollout.rs
@@ -192,44 +192,48 @@
         }
     }
 
-    /// Counts a request that is being sent, and returns the revision of the rollout that judges it.
-    fn begin(
-        &mut self,
-        service: &ServiceName,
-        route: &Arc<str>,
-        version: &Version,
-    ) -> Option<Revision> {
+    /// Counts a request that is being sent.
+    fn begin(&mut self, service: &ServiceName, route: &Arc<str>, version: &Version) -> Sent {
         let versions = self.in_flight.entry(service.clone()).or_default();
         *versions.entry(version.clone()).or_default() += 1;
-        let rules = self.services.get_mut(service)?;
-        let side = rules.side_of(version);
-        let guide = rules.guide.as_mut()?;
-        guide.record_sent(route, side);
-        Some(rules.rollout.revision)
+        let mut sent = Sent {
+            service: service.clone(),
+            route: route.clone(),
+            version: version.clone(),
+            revision: None,
+        };
+        if let Some(rules) = self.services.get_mut(service) {
+            let side = rules.side_of(version);
+            if let Some(guide) = &mut rules.guide {
+                guide.record_sent(route, side);
+                sent.revision = Some(rules.rollout.revision);
+            }
+        }
+        sent
     }
 
-    fn end(&mut self, now: Timestamp, ticket: &Ticket, answer: Answer) {
-        if let Some(versions) = self.in_flight.get_mut(&ticket.service) {
-            if let Some(count) = versions.get_mut(&ticket.version) {
+    fn end(&mut self, now: Timestamp, sent: &Sent, answer: Answer) {
+        if let Some(versions) = self.in_flight.get_mut(&sent.service) {
+            if let Some(count) = versions.get_mut(&sent.version) {
                 *count -= 1;
             }
             versions.retain(|_, count| *count > 0);
             if versions.is_empty() {
-                self.in_flight.remove(&ticket.service);
+                self.in_flight.remove(&sent.service);
             }
         }
-        let Some(rules) = self.services.get_mut(&ticket.service) else {
+        let Some(rules) = self.services.get_mut(&sent.service) else {
             return;
         };
-        let side = rules.side_of(&ticket.version);
-        let is_judged = ticket.revision == Some(rules.rollout.revision);
+        let side = rules.side_of(&sent.version);
+        let is_judged = sent.revision == Some(rules.rollout.revision);
         // A guide counts the requests that were sent to the old versions before it was created.
         if let Some(guide) = rules
             .guide
             .as_mut()
             .filter(|_| is_judged || side == Side::Old)
         {
-            guide.record_answer(now, &ticket.route, side, answer);
+            guide.record_answer(now, &sent.route, side, answer);
         }
     }
 }
@@ -317,15 +321,20 @@
     }
 }
 
-/// A request that a backend server is running. Dropping it counts it as abandoned, unless the server
-/// has already answered with an error.
-pub(super) struct Ticket {
-    entry: Arc<Entry>,
+/// A request that was counted as sent.
+struct Sent {
     service: ServiceName,
     route: Arc<str>,
     version: Version,
     /// The rollout that judges the answer.
     revision: Option<Revision>,
+}
+
+/// A request that a backend server is running. Dropping it counts it as abandoned, unless the server
+/// has already answered with an error.
+pub(super) struct Ticket {
+    entry: Arc<Entry>,
+    sent: Sent,
     sent_at: Timestamp,
     first_byte_at: Option<Timestamp>,
     floor: Duration,
@@ -369,7 +378,7 @@
 
     fn close(&mut self, answer: Answer) {
         if std::mem::replace(&mut self.is_open, false) {
-            lock(&self.entry.rollouts.state).end(clock::now(), self, answer);
+            lock(&self.entry.rollouts.state).end(clock::now(), &self.sent, answer);
         }
     }
 }
@@ -425,21 +434,18 @@
     pub(super) fn begin_ticket(&self, choice: &Selection) -> Ticket {
         let now = clock::now();
         let mut state = lock(&self.entry.rollouts.state);
-        let revision = state.begin(&self.service, &self.route.name, &choice.version);
+        let sent = state.begin(&self.service, &self.route.name, &choice.version);
         drop(state);
         Ticket {
             entry: self.entry.clone(),
-            service: self.service.clone(),
-            route: self.route.name.clone(),
-            version: choice.version.clone(),
-            revision,
+            is_warm: sent.revision.is_some() && self.entry.is_warm(now, choice),
+            sent,
             sent_at: now,
             first_byte_at: None,
             floor: match self.route.kind {
                 Kind::Streaming => self.route.target_latency,
                 Kind::Idempotent | Kind::NonIdempotent => self.route.target_latency / 2,
             },
-            is_warm: revision.is_some() && self.entry.is_warm(now, choice),
             has_failed: false,
             is_open: true,
         }
@@ -448,7 +454,7 @@
     /// Records how a backend server answered.
     pub(super) fn end_ticket(&mut self, ticket: Ticket, answer: Answer) {
         if answer == Answer::Failed {
-            self.failed_on = Some(ticket.version.clone());
+            self.failed_on = Some(ticket.sent.version.clone());
         }
         ticket.end(answer);
     }
@@ -478,3 +484,7 @@
         }
     }
 }
+
+#[cfg(test)]
+#[path = "rollout_tests.rs"]
+mod tests;
--- a/crates/celerycove-gateway/tests/rollouts/deployment.rs
+++ b/crates/celerycove-gateway/tests/rollouts/deployment.rs
@@ -299,7 +299,8 @@
             tokio::select! {
                 _ = ticks.tick() => {
                     number += 1;
-                    let path = if number % 4 < 2 { "/plain/x" } else { "/once/x" };
+                    let paths = ["/plain/x", "/once/x", "/once/slow", "/plain/slow"];
+                    let path = paths[number / ENTRIES % paths.len()];
                     pending.push(self.request(number % ENTRIES, path));
                 }
                 Some(reply) = futures_util::StreamExt::next(&mut pending) => {
--- a/crates/celerycove-gateway/tests/rollouts/server.rs
+++ b/crates/celerycove-gateway/tests/rollouts/server.rs
@@ -17,6 +17,8 @@
 
 /// How long a good answer takes.
 const WORK: Duration = Duration::from_millis(20);
+/// How long one takes on a path that ends with `slow`.
+const SLOW_WORK: Duration = Duration::from_millis(400);
 
 /// What the servers of one version do and did.
 #[derive(Default)]
@@ -81,7 +83,7 @@
 
 async fn serve(mut stream: TcpStream, behaviour: Arc<Behaviour>) {
     let mut bytes = Vec::new();
-    while let Some(id) = read_request(&mut stream, &mut bytes).await {
+    while let Some((path, id)) = read_request(&mut stream, &mut bytes).await {
         let number = {
             let mut received = behaviour.received.lock().expect("a lock");
             received.push(Instant::now());
@@ -91,7 +93,12 @@
         let late = Duration::from_millis(behaviour.late_ms.load(SeqCst));
         // Spreads the failures evenly over the requests.
         let fails = number * failing / 100 != (number - 1) * failing / 100;
-        tokio::time::sleep(WORK + late).await;
+        let work = if path.ends_with("slow") {
+            SLOW_WORK
+        } else {
+            WORK
+        };
+        tokio::time::sleep(work + late).await;
         if fails || !late.is_zero() {
             behaviour.bad.lock().expect("a lock").push(Instant::now());
         }
@@ -103,15 +110,16 @@
     }
 }
 
-/// Reads a request without a body and returns its identifier.
-async fn read_request(stream: &mut TcpStream, bytes: &mut Vec<u8>) -> Option<String> {
+/// Reads a request without a body and returns its path and its identifier.
+async fn read_request(stream: &mut TcpStream, bytes: &mut Vec<u8>) -> Option<(String, String)> {
     loop {
         if let Some(end) = bytes.windows(4).position(|window| window == b"\r\n\r\n") {
             let head = String::from_utf8_lossy(&bytes[..end]).into_owned();
             bytes.drain(..end + 4);
             let mut lines = head.lines().filter_map(|line| line.split_once(": "));
             let id = lines.find(|(name, _)| name.eq_ignore_ascii_case("id"));
-            return id.map(|(_, id)| id.to_owned());
+            let path = head.split(' ').nth(1)?.to_owned();
+            return id.map(|(_, id)| (path, id.to_owned()));
         }
         if stream.read_buf(bytes).await.ok()? == 0 {
             return None;
