fix(rollout): reference rate, earlier last step, resuming after a change of the leader

Change: the shorter periods count only if clearly higher; the last step starts at 0.67 of the duration; a new leader resumes at the step that is due if the answers allow it.

--- a/crates/celerycove-rollout/src/decider.rs
+++ b/crates/celerycove-rollout/src/decider.rs
@@ -21,6 +21,8 @@
 const PROGRESS_INTERVAL: Duration = Duration::from_secs(1);
 /// Answers of the new version that a step needs before the next one.
 const STEP_ANSWERS: u64 = 20;
+/// Longest time from a request until the leases reflect its answer, for answers within 400 ms.
+const REPORT_LOOP: Duration = Duration::from_secs(2);
 /// Fraction of an alarm's threshold from which the next step waits.
 const MAX_SUSPICION: f64 = 0.5;
 /// Fewest requests by which a version is judged to leave requests unanswered.
@@ -258,6 +260,10 @@
         }
         let gate = self.gate(now, entries);
         let elapsed = self.elapsed(now);
+        if !self.elapsed_at_start.is_zero() {
+            let most = self.most_resumed(now, gate);
+            self.schedule.resume(elapsed, most);
+        }
         if self.schedule.advance(elapsed, self.ledger.peak(now), gate) {
             self.step_base = self.ledger.new_version();
         }
@@ -268,6 +274,20 @@
         Share::from_fraction(share.min(self.ledger.allowed_share(now, &self.options)))
     }
 
+    /// Returns the step up to which the answers so far allow a new leader to resume.
+    fn most_resumed(&self, now: Timestamp, gate: Gate) -> usize {
+        let answered = self.ledger.new_version().answered;
+        if self.comparison.suspicion() >= MAX_SUSPICION || gate == Gate::Shut {
+            0
+        } else if self.ledger.peak(now) * REPORT_LOOP.as_secs_f64()
+            < f64::from(self.options.slack) / 2.0
+        {
+            usize::MAX
+        } else {
+            usize::try_from(answered / STEP_ANSWERS).unwrap_or(usize::MAX)
+        }
+    }
+
     /// Returns whether the counts of the entries are known, after a change of the leader.
     fn has_collected(&self, now: Timestamp, entries: &BTreeSet<id::Process>) -> bool {
         let age = now.saturating_sub(self.started_at);
--- a/crates/celerycove-rollout/src/decider/schedule.rs
+++ b/crates/celerycove-rollout/src/decider/schedule.rs
@@ -5,17 +5,25 @@
 /// Shares of the steps. Half of the traffic is tried before all of it because a version that fails
 /// under load should be found while the exposure bound still holds.
 const SHARES: [f64; 4] = [0.04, 0.15, 0.5, 1.0];
-/// Start of each step, as a fraction of the time from the first step to the last.
-const STARTS: [f64; 4] = [0.0, 0.75, 0.86, 1.0];
-/// Start of the last step as a fraction of the duration. Completion takes about one second more: a
-/// lease, the last answers of the old version and a report.
-const FULL_AT: f64 = 0.76;
+/// Start of each step, as a fraction of the time from the first step to the last: a rollout of 12 s
+/// takes the second step after 6.2 s, the third after 7 s.
+const STARTS: [f64; 4] = [0.0, 0.76, 0.87, 1.0];
+/// Start of the last step as a fraction of the duration. Completion takes 1 to 2 s more: a lease, the
+/// last answers of the old version and a report. The rest is for a change of the leader.
+const FULL_AT: f64 = 0.67;
 /// Time before the deadline at which the last step starts at the latest, if the duration allows it.
-const LATEST_FULL: Duration = Duration::from_secs(2);
+/// It is also the time up to which the last step may be held back.
+const RESERVE: Duration = Duration::from_millis(2_500);
 /// Time that the steps take if the new servers become ready late, and the duration allows it.
 const LATE_STEPS: Duration = Duration::from_millis(3_500);
-/// Time before the deadline up to which the last step may be held back.
-const RESERVE: Duration = Duration::from_millis(1_500);
+/// Least time between two steps, as long as the reserve is not touched: the time until the evidence
+/// of a step has arrived.
+const LEAST_DWELL: Duration = Duration::from_secs(1);
+/// Earliest time of the first step, as a fraction of the duration, for a rollout that is resumed.
+const RESUMED_START: f64 = 0.04;
+/// A new leader resumes at the step that was due this long before. It covers an election and the
+/// collection of reports, in which no step was taken.
+const RESUMED_GAP: Duration = Duration::from_millis(1_500);
 /// Requests of the new version that the first step aims for.
 const FIRST_STEP_REQUESTS: f64 = 60.0;
 /// Largest share of the first step, for a service with few requests.
@@ -40,6 +48,7 @@
     updated_at: Duration,
     held: Duration,
     index: usize,
+    stepped_at: Duration,
     first_share: f64,
 }
 
@@ -51,6 +60,7 @@
             updated_at: Duration::ZERO,
             held: Duration::ZERO,
             index: 0,
+            stepped_at: Duration::ZERO,
             first_share: SHARES[0],
         }
     }
@@ -74,14 +84,14 @@
         let Some(start) = STARTS.get(self.index + 1) else {
             return false;
         };
-        if elapsed < started_at + span.mul_f64(*start) + self.held {
+        let reserve_at = self.duration.saturating_sub(self.reserve());
+        let dwell = LEAST_DWELL.min(self.duration.mul_f64(0.07));
+        if elapsed < started_at + span.mul_f64(*start) + self.held
+            || (elapsed < self.stepped_at + dwell && elapsed < reserve_at)
+        {
             return false;
         }
-        let reserve = RESERVE.min(self.duration.mul_f64(0.4));
-        let most_held = self
-            .duration
-            .saturating_sub(reserve)
-            .saturating_sub(full_at);
+        let most_held = reserve_at.saturating_sub(full_at);
         let is_held = match gate {
             Gate::Open => false,
             Gate::Waiting => self.held < most_held,
@@ -92,9 +102,28 @@
             return false;
         }
         self.index += 1;
+        self.stepped_at = elapsed;
         true
     }
 
+    /// Resumes a rollout that another leader has begun, at the step that is due but not beyond
+    /// `most`. Has no effect once a step has begun.
+    pub fn resume(&mut self, elapsed: Duration, most: usize) {
+        if self.started_at.is_some() {
+            return;
+        }
+        let started_at = self.duration.mul_f64(RESUMED_START);
+        let span = self.full_at(started_at).saturating_sub(started_at);
+        let due = STARTS
+            .iter()
+            .rposition(|start| started_at + span.mul_f64(*start) + RESUMED_GAP <= elapsed)
+            .unwrap_or(0);
+        self.index = due.min(most);
+        self.started_at = Some(if self.index == 0 { elapsed } else { started_at });
+        self.updated_at = elapsed;
+        self.stepped_at = elapsed;
+    }
+
     /// Returns the share of the present step.
     pub fn share(&self) -> f64 {
         SHARES[self.index].max(self.first_share)
@@ -111,11 +140,12 @@
         self.index + 1 == SHARES.len()
     }
 
+    fn reserve(&self) -> Duration {
+        RESERVE.min(self.duration.mul_f64(0.5))
+    }
+
     fn full_at(&self, started_at: Duration) -> Duration {
-        let latest = self
-            .duration
-            .saturating_sub(LATEST_FULL)
-            .max(self.duration / 2);
+        let latest = self.duration.saturating_sub(self.reserve());
         let planned = self.duration.mul_f64(FULL_AT).min(latest);
         planned.max((started_at + LATE_STEPS).min(latest))
     }
--- a/crates/celerycove-rollout/src/statistics/comparison.rs
+++ b/crates/celerycove-rollout/src/statistics/comparison.rs
@@ -19,10 +19,13 @@
 const MAX_BATCH: f64 = 0.6;
 /// The worse rate is higher than the reference by this much, or by the reference rate if larger.
 const LEAST_INCREASE: f64 = 0.1;
-/// Weight, in answers, of the rate assumed before there are answers.
+/// Lowest reference rate. Single lost answers, up to one in fifty, do not count against a version.
+const LEAST_RATE: f64 = 0.02;
+/// Weight, in answers, of the rate assumed while there are few answers.
 const PRIOR_WEIGHT: f64 = 10.0;
-/// Rate assumed before there are answers.
-const PRIOR_RATE: f64 = 0.02;
+/// Standard deviations by which the old version's rate over a shorter period must be higher to be
+/// used instead of the longer average. The highest of several noisy rates would hide bad versions.
+const BURST_DEVIATIONS: f64 = 2.0;
 /// Half-lives of the two averages of the old version's rate: a short one that follows bursts and a
 /// long one with little noise.
 const HALF_LIVES: [Duration; 2] = [Duration::from_millis(300), Duration::from_secs(2)];
@@ -76,31 +79,44 @@
 /// The old version's rate of bad answers over several periods that end now.
 #[derive(Debug, Clone, Copy, Default)]
 struct Reference {
-    batch: Average,
-    averages: [Average; 2],
+    /// The present batch, followed by the averages.
+    periods: [Average; 3],
+    all: Average,
     recorded_at: Timestamp,
 }
 
 impl Reference {
-    /// Adds a batch. Without answers the averages keep their weight, since no newer ones are known.
     fn record(&mut self, now: Timestamp, count: Count) {
-        self.batch = Average::from_count(count);
-        if count.answered == 0 {
-            return;
-        }
         let age = now.saturating_sub(self.recorded_at);
         self.recorded_at = now;
-        for (average, half_life) in self.averages.iter_mut().zip(HALF_LIVES) {
+        self.periods[0] = Average::from_count(count);
+        for (average, half_life) in self.periods[1..].iter_mut().zip(HALF_LIVES) {
             average.record(count, age, half_life);
         }
+        self.all.record(count, Duration::ZERO, Duration::MAX);
+    }
+
+    /// Rates over each period. While there are few answers they are drawn towards the rate since the
+    /// start, and this one towards `assumed`.
+    fn rates(&self, assumed: f64) -> [f64; 3] {
+        let all = self.all.rate(assumed);
+        self.periods.map(|period| period.rate(all))
     }
 
-    fn rates(&self, assumed: [f64; 3]) -> [f64; 3] {
-        [
-            self.batch.rate(assumed[0]),
-            self.averages[0].rate(assumed[1]),
-            self.averages[1].rate(assumed[2]),
-        ]
+    /// Rate that the new version is compared with: the long average, or the rate over a shorter
+    /// period if that one is clearly higher.
+    fn rate(&self, assumed: [f64; 3]) -> f64 {
+        let all = self.all.rate(assumed[2]);
+        let long = self.periods[2].rate(f64::midpoint(all, assumed[2]));
+        let mut highest = long.max(LEAST_RATE);
+        for (period, assumed) in self.periods.iter().zip(assumed).take(2) {
+            let rate = period.rate(assumed.max(long));
+            let deviation = (long * (1.0 - long) / (period.answered + 1.0)).sqrt();
+            if rate > long + BURST_DEVIATIONS * deviation {
+                highest = highest.max(rate);
+            }
+        }
+        highest
     }
 }
 
@@ -153,16 +169,12 @@
         overall
             .reference
             .record(now, std::mem::take(&mut overall.old));
-        let assumed = overall.reference.rates([PRIOR_RATE; 3]);
+        let assumed = overall.reference.rates(LEAST_RATE);
         let mut increment = 0.0;
         let mut finding = None;
         for (name, route) in &mut self.routes {
             route.reference.record(now, std::mem::take(&mut route.old));
-            let rate = route
-                .reference
-                .rates(assumed)
-                .into_iter()
-                .fold(0.0, f64::max);
+            let rate = route.reference.rate(assumed);
             let new = std::mem::take(&mut route.new);
             let ratio = log_likelihood_ratio(new, rate);
             let expected = rate * float(new.answered);
@@ -232,7 +244,7 @@
 }
 
 fn log_likelihood_ratio(count: Count, rate: f64) -> f64 {
-    let rate = rate.clamp(0.001, 0.999);
+    let rate = rate.clamp(LEAST_RATE, 0.999);
     let worse = (rate + LEAST_INCREASE.max(rate)).min(f64::midpoint(1.0, rate));
     let bad = float(count.bad);
     let good = float(count.answered.saturating_sub(count.bad));
