--- a/crates/celerycove-rollout/src/decider.rs
+++ b/crates/celerycove-rollout/src/decider.rs
@@ -19,8 +19,8 @@
 
 /// Interval at which the elapsed time is committed.
 const PROGRESS_INTERVAL: Duration = Duration::from_secs(1);
-/// Answers of the new version that a step needs before the next one.
-const STEP_ANSWERS: u64 = 20;
+/// Answers of the new version for each step that a new leader skips.
+const RESUMED_ANSWERS: u64 = 10;
 /// Longest time from a request until the leases reflect its answer, for answers within 400 ms.
 const REPORT_LOOP: Duration = Duration::from_secs(2);
 /// Fraction of an alarm's threshold from which the next step waits.
@@ -284,7 +284,7 @@
         {
             usize::MAX
         } else {
-            usize::try_from(answered / STEP_ANSWERS).unwrap_or(usize::MAX)
+            usize::try_from(answered / RESUMED_ANSWERS).unwrap_or(usize::MAX)
         }
     }
 
@@ -300,8 +300,8 @@
             return Gate::Shut;
         }
         let step = new.since(self.step_base);
-        let has_answers =
-            step.answered >= STEP_ANSWERS || step.answered.saturating_mul(2) >= step.sent;
+        // Slow answers arrive last, so the first ones do not represent the step.
+        let has_answers = step.answered.saturating_mul(10) >= step.sent.saturating_mul(7);
         let is_known = self.ledger.is_in_force(now, entries, self.share);
         if has_answers && is_known && self.comparison.suspicion() < MAX_SUSPICION {
             Gate::Open
--- a/crates/celerycove-rollout/src/decider/schedule.rs
+++ b/crates/celerycove-rollout/src/decider/schedule.rs
@@ -6,8 +6,8 @@
 /// under load should be found while the exposure bound still holds.
 const SHARES: [f64; 4] = [0.04, 0.15, 0.5, 1.0];
 /// Start of each step, as a fraction of the time from the first step to the last: a rollout of 12 s
-/// takes the second step after 6.2 s, the third after 7 s.
-const STARTS: [f64; 4] = [0.0, 0.76, 0.87, 1.0];
+/// takes the second step after 5.9 s, the third after 6.7 s.
+const STARTS: [f64; 4] = [0.0, 0.72, 0.825, 1.0];
 /// Start of the last step as a fraction of the duration. Completion takes 1 to 2 s more: a lease, the
 /// last answers of the old version and a report. The rest is for a change of the leader.
 const FULL_AT: f64 = 0.67;
@@ -45,8 +45,6 @@
 pub struct Schedule {
     duration: Duration,
     started_at: Option<Duration>,
-    updated_at: Duration,
-    held: Duration,
     index: usize,
     stepped_at: Duration,
     first_share: f64,
@@ -57,8 +55,6 @@
         Self {
             duration,
             started_at: None,
-            updated_at: Duration::ZERO,
-            held: Duration::ZERO,
             index: 0,
             stepped_at: Duration::ZERO,
             first_share: SHARES[0],
@@ -69,11 +65,6 @@
     /// is the rate of the service's requests per second.
     pub fn advance(&mut self, elapsed: Duration, peak: f64, gate: Gate) -> bool {
         let started_at = *self.started_at.get_or_insert(elapsed);
-        let since_update = match self.updated_at {
-            Duration::ZERO => Duration::ZERO,
-            at => elapsed.saturating_sub(at),
-        };
-        self.updated_at = elapsed;
         let full_at = self.full_at(started_at);
         let span = full_at.saturating_sub(started_at);
         if self.index == 0 && peak > 0.0 {
@@ -84,21 +75,18 @@
         let Some(start) = STARTS.get(self.index + 1) else {
             return false;
         };
-        let reserve_at = self.duration.saturating_sub(self.reserve());
         let dwell = LEAST_DWELL.min(self.duration.mul_f64(0.07));
-        if elapsed < started_at + span.mul_f64(*start) + self.held
-            || (elapsed < self.stepped_at + dwell && elapsed < reserve_at)
-        {
-            return false;
-        }
-        let most_held = reserve_at.saturating_sub(full_at);
+        let steps_after = u32::try_from(STARTS.len() - 2 - self.index).unwrap_or(0);
+        let latest = self
+            .duration
+            .saturating_sub(self.reserve() + dwell * steps_after);
+        let due = (started_at + span.mul_f64(*start)).max((self.stepped_at + dwell).min(latest));
         let is_held = match gate {
             Gate::Open => false,
-            Gate::Waiting => self.held < most_held,
+            Gate::Waiting => elapsed < latest,
             Gate::Shut => true,
         };
-        if is_held {
-            self.held += since_update;
+        if elapsed < due || is_held {
             return false;
         }
         self.index += 1;
@@ -119,8 +107,7 @@
             .rposition(|start| started_at + span.mul_f64(*start) + RESUMED_GAP <= elapsed)
             .unwrap_or(0);
         self.index = due.min(most);
-        self.started_at = Some(if self.index == 0 { elapsed } else { started_at });
-        self.updated_at = elapsed;
+        self.started_at = Some(if most == 0 { elapsed } else { started_at });
         self.stepped_at = elapsed;
     }
 
--- a/crates/celerycove-rollout/src/statistics/comparison.rs
+++ b/crates/celerycove-rollout/src/statistics/comparison.rs
@@ -29,6 +29,9 @@
 /// Half-lives of the two averages of the old version's rate: a short one that follows bursts and a
 /// long one with little noise.
 const HALF_LIVES: [Duration; 2] = [Duration::from_millis(300), Duration::from_secs(2)];
+/// Time without answers of the old version for which its averages keep their weight. When all traffic
+/// has moved, the last answers of a burst arrive from the new version alone.
+const KEPT: Duration = Duration::from_secs(1);
 /// Bad answers beyond the expected ones that stop a rollout whatever the test says.
 const MAX_EXCESS: f64 = 40.0;
 /// Standard deviations by which the excess must also surpass chance, for rollouts with many answers.
@@ -83,6 +86,7 @@
     periods: [Average; 3],
     all: Average,
     recorded_at: Timestamp,
+    answered_at: Timestamp,
 }
 
 impl Reference {
@@ -90,6 +94,11 @@
         let age = now.saturating_sub(self.recorded_at);
         self.recorded_at = now;
         self.periods[0] = Average::from_count(count);
+        if count.answered > 0 {
+            self.answered_at = now;
+        } else if now < self.answered_at + KEPT {
+            return;
+        }
         for (average, half_life) in self.periods[1..].iter_mut().zip(HALF_LIVES) {
             average.record(count, age, half_life);
         }
