--- a/crates/celerycove-rollout/src/decider.rs
+++ b/crates/celerycove-rollout/src/decider.rs
@@ -19,8 +19,10 @@
 
 /// Interval at which the elapsed time is committed.
 const PROGRESS_INTERVAL: Duration = Duration::from_secs(1);
-/// Answers of the new version that a step needs before the next one.
-const STEP_ANSWERS: u64 = 20;
+/// Answers of the new version for each step that a new leader skips.
+const RESUMED_ANSWERS: u64 = 10;
+/// Longest time from a request until the leases reflect its answer, for answers within 400 ms.
+const REPORT_LOOP: Duration = Duration::from_secs(2);
 /// Fraction of an alarm's threshold from which the next step waits.
 const MAX_SUSPICION: f64 = 0.5;
 /// Fewest requests by which a version is judged to leave requests unanswered.
@@ -258,6 +260,10 @@
         }
         let gate = self.gate(now, entries);
         let elapsed = self.elapsed(now);
+        if !self.elapsed_at_start.is_zero() {
+            let most = self.most_resumed(now, gate);
+            self.schedule.resume(elapsed, most);
+        }
         if self.schedule.advance(elapsed, self.ledger.peak(now), gate) {
             self.step_base = self.ledger.new_version();
         }
@@ -268,6 +274,20 @@
         Share::from_fraction(share.min(self.ledger.allowed_share(now, &self.options)))
     }
 
+    /// Returns the step up to which the answers so far allow a new leader to resume.
+    fn most_resumed(&self, now: Timestamp, gate: Gate) -> usize {
+        let answered = self.ledger.new_version().answered;
+        if self.comparison.suspicion() >= MAX_SUSPICION || gate == Gate::Shut {
+            0
+        } else if self.ledger.peak(now) * REPORT_LOOP.as_secs_f64()
+            < f64::from(self.options.slack) / 2.0
+        {
+            usize::MAX
+        } else {
+            usize::try_from(answered / RESUMED_ANSWERS).unwrap_or(usize::MAX)
+        }
+    }
+
     /// Returns whether the counts of the entries are known, after a change of the leader.
     fn has_collected(&self, now: Timestamp, entries: &BTreeSet<id::Process>) -> bool {
         let age = now.saturating_sub(self.started_at);
@@ -280,8 +300,8 @@
             return Gate::Shut;
         }
         let step = new.since(self.step_base);
-        let has_answers =
-            step.answered >= STEP_ANSWERS || step.answered.saturating_mul(2) >= step.sent;
+        // Slow answers arrive last, so the first ones do not represent the step.
+        let has_answers = step.answered.saturating_mul(10) >= step.sent.saturating_mul(7);
         let is_known = self.ledger.is_in_force(now, entries, self.share);
         if has_answers && is_known && self.comparison.suspicion() < MAX_SUSPICION {
             Gate::Open
--- a/crates/celerycove-rollout/tests/rollout/simulation.rs
+++ b/crates/celerycove-rollout/tests/rollout/simulation.rs
@@ -45,7 +45,7 @@
     pub route: usize,
 }
 
-type Behaviour = fn(Moment) -> Fault;
+pub type Behaviour = fn(Moment) -> Fault;
 
 #[derive(Clone)]
 pub struct Scenario {
@@ -294,7 +294,7 @@
             .as_ref()
             .filter(|_| decider.share() != Share::ZERO);
         assert!(
-            !matches!(earlier, Some(Decision::RollBack(_))) || self.scenario.leaderless.len() > 0,
+            !matches!(earlier, Some(Decision::RollBack(_))) || !self.scenario.leaderless.is_empty(),
             "a rollback was taken back"
         );
         for index in 0..ENTRIES {
@@ -393,10 +393,12 @@
             self.scenario.old
         }(moment);
         let is_tail = self.rng.random_bool(0.01);
-        let mut latency = usual * self.rng.random_range(0.7..1.3) * if is_tail { 3.0 } else { 1.0 };
+        let mut latency = usual * self.rng.random_range(0.7..1.3);
         let is_slow = self.rng.random_bool(fault.slow);
         if is_slow {
             latency *= fault.factor;
+        } else if is_tail {
+            latency *= 3.0;
         }
         let is_failing = self.rng.random_bool(fault.failing);
         let answer = if is_failing {
