fix(gateway): entries ignore the leases of an earlier leader

Cause: a lease names no term, so that one of a deposed leader could replace a share that the next leader had taken back. Change: the frame with the leases names the leader's term.

--- a/crates/celerycove-gateway/src/control.rs
+++ b/crates/celerycove-gateway/src/control.rs
@@ -579,7 +579,7 @@
             | Frame::Ping
             | Frame::Reply(..)
             | Frame::TotalDemand(..)
-            | Frame::RolloutLeases(_) => {}
+            | Frame::RolloutLeases(..) => {}
         }
     }
 
--- a/crates/celerycove-gateway/src/control/rollout.rs
+++ b/crates/celerycove-gateway/src/control/rollout.rs
@@ -388,7 +388,7 @@
             }
         }
         if !leases.is_empty() {
-            let frame = Frame::RolloutLeases(leases);
+            let frame = Frame::RolloutLeases(term, leases);
             self.broadcaster
                 .send_to(&frame, |peer| peer.role == Role::Entry);
         }
--- a/crates/celerycove-gateway/src/entry.rs
+++ b/crates/celerycove-gateway/src/entry.rs
@@ -412,7 +412,9 @@
             Frame::TotalDemand(data_centre, total) => {
                 lock(&self.servers).merge_demand(clock::now(), data_centre, total);
             }
-            Frame::RolloutLeases(leases) => self.rollouts.accept(clock::now(), &leases),
+            Frame::RolloutLeases(term, leases) => {
+                self.rollouts.accept(clock::now(), term, &leases);
+            }
             _ => {}
         }
     }
--- a/crates/celerycove-gateway/src/entry/rollout.rs
+++ b/crates/celerycove-gateway/src/entry/rollout.rs
@@ -52,6 +52,8 @@
 struct State {
     /// Distinguishes restarts of this entry; zero until the first rollout.
     boot: u64,
+    /// The highest term of a leader whose leases were taken.
+    lease_term: u64,
     /// The services with a rollout, or with versions that get no requests.
     services: Map<ServiceName, Rules>,
     /// Requests that backend servers are running, by service and version.
@@ -244,9 +246,14 @@
         lock(&self.state).follow(now, fleet, metrics);
     }
 
-    /// Takes the leader's leases.
-    pub(super) fn accept(&self, now: Timestamp, leases: &[Lease]) {
+    /// Takes the leases of the leader of a term. Those of an earlier leader are ignored: they could
+    /// replace a share that a later one has taken back.
+    pub(super) fn accept(&self, now: Timestamp, term: u64, leases: &[Lease]) {
         let mut state = lock(&self.state);
+        if term < state.lease_term {
+            return;
+        }
+        state.lease_term = term;
         for lease in leases {
             let rules = state.services.get_mut(&lease.service);
             if let Some(guide) = rules.and_then(|rules| rules.guide.as_mut()) {
--- a/crates/celerycove-gateway/src/entry/rollout_tests.rs
+++ b/crates/celerycove-gateway/src/entry/rollout_tests.rs
@@ -42,13 +42,17 @@
 }
 
 fn grant(rollouts: &Rollouts, revision: u64, share: f64) {
+    grant_in_term(rollouts, 1, revision, share);
+}
+
+fn grant_in_term(rollouts: &Rollouts, term: u64, revision: u64, share: f64) {
     let lease = Lease {
         service: SERVICE.into(),
         revision,
         share: Share::from_fraction(share),
         lasts: Duration::from_secs(1),
     };
-    rollouts.accept(NOW, &[lease]);
+    rollouts.accept(NOW, term, &[lease]);
 }
 
 /// The versions to try, in order: `v2` for that one only, and the excluded ones otherwise.
@@ -89,6 +93,18 @@
     assert!(matches!(other, Allowed::Any));
 }
 
+/// Guards against a lease of a deposed leader that replaces what the next one has taken back.
+#[test]
+fn leases_of_an_earlier_leader_are_ignored() {
+    let rollouts = rollouts(&fleet(Stage::Running, 1, &[]));
+    grant_in_term(&rollouts, 2, 1, 0.5);
+    grant_in_term(&rollouts, 3, 1, 0.0);
+    grant_in_term(&rollouts, 2, 1, 0.5);
+    assert_eq!(tried(&rollouts, NOW, None), ["not v2"]);
+    grant_in_term(&rollouts, 3, 1, 0.5);
+    assert_eq!(tried(&rollouts, NOW, None), ["v2", "not v2"]);
+}
+
 /// Guards against a retry on the version that failed, and against one on servers that may be stopped.
 #[test]
 fn a_retry_goes_to_the_old_versions_until_they_may_be_stopped() {
--- a/crates/celerycove-gateway/src/message.rs
+++ b/crates/celerycove-gateway/src/message.rs
@@ -72,10 +72,10 @@
     /// Asks a control instance for the whole committed state: the sender holds none, or one that
     /// the last step doesn't start from.
     RequestView,
-    /// Shares of requests that entries may send to new versions, from the control leader to all
-    /// entries.
+    /// The term of the control leader, and the shares of requests that entries may send to new
+    /// versions, from it to all entries.
     #[serde(rename = "RolloutLeases")]
-    RolloutLeases(Vec<celerycove_rollout::Lease>),
+    RolloutLeases(u64, Vec<celerycove_rollout::Lease>),
     /// What an entry has sent to old and new versions and how they answered, for the control leader.
     #[serde(rename = "RolloutReports")]
     RolloutReports(Vec<celerycove_rollout::Report>),
--- a/crates/celerycove-gateway/src/store.rs
+++ b/crates/celerycove-gateway/src/store.rs
@@ -305,7 +305,7 @@
             | Frame::Hello(_)
             | Frame::Ping
             | Frame::Crashes(_)
-            | Frame::RolloutLeases(_)
+            | Frame::RolloutLeases(..)
             | Frame::RolloutReports(_)
             | Frame::Reply(..) => {}
         }
