fix(gateway): a new leader counts the time since it saw the committed one

Cause: each leader began with the elapsed time that was committed last, up to a second old and older by the election, so that a rollout could miss its deadline after a change of the leader. Change: each control instance notes when it first saw a committed state of a rollout; what has passed since counts too. It is still a lower bound.

--- a/crates/celerycove-gateway/src/control/rollout.rs
+++ b/crates/celerycove-gateway/src/control/rollout.rs
@@ -6,7 +6,9 @@
     time::Duration,
 };
 
-use celerycove_fleet::{Command, Fleet, Stage, config::ServiceName, registry::MAX_NAME_BYTES};
+use celerycove_fleet::{
+    Command, Fleet, Rollout, Stage, config::ServiceName, registry::MAX_NAME_BYTES,
+};
 use celerycove_rollout::{
     Decider, Report, Share,
     decider::{Decision, Options, Step},
@@ -47,8 +49,17 @@
     running: BTreeMap<ServiceName, Running>,
     /// The term in which `running` was built.
     term: u64,
-    /// When this instance learnt of the end of a service's last rollout.
-    ended: BTreeMap<ServiceName, (Revision, Timestamp)>,
+    /// When this instance learnt of what is committed about a service's last rollout.
+    noted: BTreeMap<ServiceName, Noted>,
+}
+
+/// A committed state of a rollout, and when it was seen first.
+#[derive(Debug, Clone, Copy)]
+struct Noted {
+    revision: Revision,
+    stage: Stage,
+    elapsed: Duration,
+    at: Timestamp,
 }
 
 /// A running rollout at the leader.
@@ -73,18 +84,45 @@
     decision: Decision,
 }
 
+impl Noted {
+    /// The time that has passed at least since the order.
+    fn passed(&self, now: Timestamp) -> Duration {
+        self.elapsed + now.saturating_sub(self.at)
+    }
+}
+
 impl Rollouts {
-    /// Notes which rollouts have ended, and when that was seen first.
-    fn note_ends(&mut self, now: Timestamp, fleet: &Fleet) {
+    /// Notes the committed states of rollouts, and when they were seen first.
+    fn note(&mut self, now: Timestamp, fleet: &Fleet) {
         for (service, rollout) in &fleet.rollouts {
-            let is_known =
-                self.ended.get(service).map(|(revision, _)| *revision) == Some(rollout.revision);
-            if rollout.stage != Stage::Running && !is_known {
-                self.ended.insert(service.clone(), (rollout.revision, now));
+            let noted = Noted {
+                revision: rollout.revision,
+                stage: rollout.stage,
+                elapsed: rollout.elapsed,
+                at: now,
+            };
+            let is_known = self.noted.get(service).is_some_and(|known| {
+                (known.revision, known.stage) == (noted.revision, noted.stage)
+                    && (known.stage != Stage::Running || known.passed(now) >= noted.elapsed)
+            });
+            if !is_known {
+                self.noted.insert(service.clone(), noted);
             }
         }
     }
 
+    /// The rollout with the time that has passed at least since the order: what is committed, and the
+    /// time since then. Without the latter, each change of the leader would prolong the rollout.
+    fn with_time_passed(&self, now: Timestamp, service: &str, rollout: &Rollout) -> Rollout {
+        let mut rollout = rollout.clone();
+        if let Some(noted) = self.noted.get(service)
+            && (noted.revision, noted.stage) == (rollout.revision, rollout.stage)
+        {
+            rollout.elapsed = rollout.elapsed.max(noted.passed(now));
+        }
+        rollout
+    }
+
     /// Drops what belongs to another term, and deciders of rollouts that have ended, and starts the
     /// missing ones.
     fn follow(&mut self, now: Timestamp, term: u64, fleet: &Fleet, options: Options) {
@@ -107,6 +145,7 @@
         });
         for (service, rollout) in &fleet.rollouts {
             if rollout.stage == Stage::Running && !self.running.contains_key(service) {
+                let rollout = &self.with_time_passed(now, service, rollout);
                 log::info!(target: "rollout", service:% = service, revision = rollout.revision,
                     to:% = rollout.to, from:? = rollout.from, term,
                     duration_ms = clock::millis(rollout.duration),
@@ -316,9 +355,9 @@
         }
         let now = clock::now();
         let mut rollouts = lock(&self.rollouts);
-        rollouts.note_ends(now, &applied.1);
-        let ended = rollouts.ended.get(service);
-        ended.is_some_and(|(_, at)| now.saturating_sub(*at) < REPETITION_TIME)
+        rollouts.note(now, &applied.1);
+        let noted = rollouts.noted.get(service);
+        noted.is_some_and(|noted| now.saturating_sub(noted.at) < REPETITION_TIME)
     }
 
     /// Merges an entry's reports.
@@ -347,7 +386,7 @@
     }
 
     fn step_rollouts(&self, now: Timestamp) {
-        lock(&self.rollouts).note_ends(now, &self.fleet());
+        lock(&self.rollouts).note(now, &self.fleet());
         let confirmed_at = self
             .replica()
             .and_then(|replica| replica.status().confirmed_at);
@@ -450,3 +489,7 @@
     log::info!(target: "rollout", reason = reason.as_str(); "the order of a rollout is rejected");
     http::text_response(StatusCode::BAD_REQUEST, reason)
 }
+
+#[cfg(test)]
+#[path = "rollout_tests.rs"]
+mod tests;
