fix(rollout): an entry that was disconnected must report its share again

The last steps also followed each other too closely when the evidence held them back. Change: a disconnected entry's share is no longer in force. Steps wait from 0.65 of the threshold and are further apart.

--- a/crates/celerycove-rollout/src/decider.rs
+++ b/crates/celerycove-rollout/src/decider.rs
@@ -23,8 +23,9 @@
 const RESUMED_ANSWERS: u64 = 10;
 /// Longest time from a request until the leases reflect its answer, for answers within 400 ms.
 const REPORT_LOOP: Duration = Duration::from_secs(2);
-/// Fraction of an alarm's threshold from which the next step waits.
-const MAX_SUSPICION: f64 = 0.5;
+/// Fraction of an alarm's threshold from which the next step waits. Three bad answers reach 0.6;
+/// waiting for them to be outweighed would take seconds at a small share.
+const MAX_SUSPICION: f64 = 0.65;
 /// Fewest requests by which a version is judged to leave requests unanswered.
 const UNRESPONSIVE_REQUESTS: u64 = 10;
 
--- a/crates/celerycove-rollout/src/decider/ledger.rs
+++ b/crates/celerycove-rollout/src/decider/ledger.rs
@@ -138,8 +138,14 @@
         entry.old_in_flight = report.old_in_flight;
     }
 
-    /// Notes which entries are connected now.
+    /// Notes which entries are connected now. An entry that was disconnected may have restarted, so
+    /// its share is in force again only when it reports it.
     pub fn connect(&mut self, now: Timestamp, entries: &BTreeSet<id::Process>) {
+        for (name, entry) in &mut self.entries {
+            if !entries.contains(name) {
+                entry.share_in_force = Share::ZERO;
+            }
+        }
         for name in entries {
             self.entries
                 .entry(Arc::clone(name))
--- a/crates/celerycove-rollout/src/decider/schedule.rs
+++ b/crates/celerycove-rollout/src/decider/schedule.rs
@@ -75,7 +75,7 @@
         let Some(start) = STARTS.get(self.index + 1) else {
             return false;
         };
-        let dwell = LEAST_DWELL.min(self.duration.mul_f64(0.07));
+        let dwell = LEAST_DWELL.min(self.duration.mul_f64(0.09));
         let steps_after = u32::try_from(STARTS.len() - 2 - self.index).unwrap_or(0);
         let latest = self
             .duration
