fix(rollout): more time at half of the traffic, less weight for the assumed rate

Cause: all traffic moved before the slow answers of the step at half of the traffic had arrived; in a burst at few requests the assumed rate pulled the reference below the old version's real one. Change: each step has its own least time, 1.4 s for the third; the assumed rate weighs 4 answers instead of 10.

--- a/crates/celerycove-rollout/src/decider/schedule.rs
+++ b/crates/celerycove-rollout/src/decider/schedule.rs
@@ -6,8 +6,8 @@
 /// under load should be found while the exposure bound still holds.
 const SHARES: [f64; 4] = [0.04, 0.15, 0.5, 1.0];
 /// Start of each step, as a fraction of the time from the first step to the last: a rollout of 12 s
-/// takes the second step after 5.9 s, the third after 6.7 s.
-const STARTS: [f64; 4] = [0.0, 0.72, 0.825, 1.0];
+/// takes the second step after 5.8 s, the third after 6.4 s.
+const STARTS: [f64; 4] = [0.0, 0.7, 0.785, 1.0];
 /// Start of the last step as a fraction of the duration. Completion takes 1 to 2 s more: a lease, the
 /// last answers of the old version and a report. The rest is for a change of the leader.
 const FULL_AT: f64 = 0.67;
@@ -16,9 +16,15 @@
 const RESERVE: Duration = Duration::from_millis(2_500);
 /// Time that the steps take if the new servers become ready late, and the duration allows it.
 const LATE_STEPS: Duration = Duration::from_millis(3_500);
-/// Least time between two steps, as long as the reserve is not touched: the time until the evidence
-/// of a step has arrived.
-const LEAST_DWELL: Duration = Duration::from_secs(1);
+/// Least time in each of the first three steps, as long as the reserve is not touched. The answers of
+/// the third must have arrived before all traffic moves, slow ones included.
+const LEAST_DWELLS: [Duration; 3] = [
+    Duration::from_millis(600),
+    Duration::from_millis(600),
+    Duration::from_millis(1_400),
+];
+/// Upper bound of those times as a fraction of the duration.
+const MOST_DWELL: f64 = 0.12;
 /// Earliest time of the first step, as a fraction of the duration, for a rollout that is resumed.
 const RESUMED_START: f64 = 0.04;
 /// A new leader resumes at the step that was due this long before. It covers an election and the
@@ -75,11 +81,13 @@
         let Some(start) = STARTS.get(self.index + 1) else {
             return false;
         };
-        let dwell = LEAST_DWELL.min(self.duration.mul_f64(0.09));
-        let steps_after = u32::try_from(STARTS.len() - 2 - self.index).unwrap_or(0);
-        let latest = self
-            .duration
-            .saturating_sub(self.reserve() + dwell * steps_after);
+        let most_dwell = self.duration.mul_f64(MOST_DWELL);
+        let dwell = LEAST_DWELLS[self.index].min(most_dwell);
+        let dwells_after: Duration = LEAST_DWELLS[self.index + 1..]
+            .iter()
+            .map(|dwell| (*dwell).min(most_dwell))
+            .sum();
+        let latest = self.duration.saturating_sub(self.reserve() + dwells_after);
         let due = (started_at + span.mul_f64(*start)).max((self.stepped_at + dwell).min(latest));
         let is_held = match gate {
             Gate::Open => false,
--- a/crates/celerycove-rollout/src/statistics/comparison.rs
+++ b/crates/celerycove-rollout/src/statistics/comparison.rs
@@ -22,7 +22,7 @@
 /// Lowest reference rate. Single lost answers, up to one in fifty, do not count against a version.
 const LEAST_RATE: f64 = 0.02;
 /// Weight, in answers, of the rate assumed while there are few answers.
-const PRIOR_WEIGHT: f64 = 10.0;
+const PRIOR_WEIGHT: f64 = 4.0;
 /// Standard deviations by which the old version's rate over a shorter period must be higher to be
 /// used instead of the longer average. The highest of several noisy rates would hide bad versions.
 const BURST_DEVIATIONS: f64 = 2.0;
