fix(gateway): completed is told once no connected entry uses the old versions

Cause: an entry whose lease lapses after its last report, or which can't reach the leader, goes back to the old versions; their servers are stopped as soon as the operator reads completed. Change: GET waits, at most 0.5 s, until the connected entries have acknowledged the completed state, and an entry does so when none of its requests runs on a replaced version.

--- a/crates/celerycove-gateway/src/control/rollout.rs
+++ b/crates/celerycove-gateway/src/control/rollout.rs
@@ -296,9 +296,20 @@
         service: &ServiceName,
         revision: Revision,
     ) -> Response<Body> {
-        let acknowledged = tokio::time::timeout(ACKNOWLEDGE_TIMEOUT, async {
+        let is_ordered = |fleet: &Fleet| fleet.rollout_revision(service) >= revision;
+        if !self.wait_until_known(is_ordered).await {
+            log::warn!(target: "rollout", service:% = service, revision;
+                "not all entries have acknowledged the order of a rollout");
+        }
+        http::json_response(StatusCode::OK, bytes::Bytes::from_static(b"{}"))
+    }
+
+    /// Waits until all connected entries hold a state with a property, for at most
+    /// [`ACKNOWLEDGE_TIMEOUT`]. Returns whether they do.
+    async fn wait_until_known(&self, has_property: impl Fn(&Fleet) -> bool) -> bool {
+        let known = tokio::time::timeout(ACKNOWLEDGE_TIMEOUT, async {
             let index = loop {
-                match self.index_of_rollout(service, revision) {
+                match self.index_of_state(&has_property) {
                     Some(index) => break index,
                     None => tokio::time::sleep(ARRIVAL_INTERVAL).await,
                 }
@@ -311,35 +322,41 @@
                 .wait_acknowledged(number, ACKNOWLEDGE_TIMEOUT);
             wait.await
         });
-        if !acknowledged.await.unwrap_or(false) {
-            log::warn!(target: "rollout", service:% = service, revision;
-                "not all entries have acknowledged the order of a rollout");
-        }
-        http::json_response(StatusCode::OK, bytes::Bytes::from_static(b"{}"))
+        known.await.unwrap_or(false)
     }
 
-    /// The index of a state known here that holds a rollout or a later one of the service.
-    fn index_of_rollout(&self, service: &str, revision: Revision) -> Option<u64> {
-        let holds = |fleet: &Fleet| fleet.rollout_revision(service) >= revision;
+    /// The index of a state known here that has a property.
+    fn index_of_state(&self, has_property: impl Fn(&Fleet) -> bool) -> Option<u64> {
         let applied = self.applied.load();
-        if holds(&applied.1) {
+        if has_property(&applied.1) {
             return Some(applied.0);
         }
         let view = self.fleet_state.view()?;
-        holds(&view.fleet).then_some(view.index)
+        has_property(&view.fleet).then_some(view.index)
     }
 
-    /// Responds with the state of a service's last rollout.
+    /// Responds with the state of a service's last rollout. The operator stops the old servers when it is
+    /// completed, so that is told once no connected entry uses them any more. An entry may have gone
+    /// back to them shortly before the end, because its lease lapsed or it can't reach the leader.
     pub(super) async fn rollout_state(&self, service: &str) -> Response<Body> {
         let Reply::State(fleet) = self.read_latest().await else {
             return unavailable("the newest state is not known for sure");
         };
-        match fleet.rollouts.get(service) {
-            Some(rollout) => {
-                http::json_response(StatusCode::OK, self.dialect.rollout_body(rollout))
-            }
-            None => http::text_response(StatusCode::NOT_FOUND, "no such rollout"),
+        let Some(rollout) = fleet.rollouts.get(service) else {
+            return http::text_response(StatusCode::NOT_FOUND, "no such rollout");
+        };
+        let is_completed = |fleet: &Fleet| {
+            let known = fleet.rollouts.get(service);
+            known.is_some_and(|known| {
+                known.revision > rollout.revision
+                    || (known.revision == rollout.revision && known.stage == rollout.stage)
+            })
+        };
+        if rollout.stage == Stage::Completed && !self.wait_until_known(is_completed).await {
+            log::warn!(target: "rollout", service, revision = rollout.revision;
+                "not all entries have acknowledged the end of a rollout");
         }
+        http::json_response(StatusCode::OK, self.dialect.rollout_body(rollout))
     }
 
     /// Whether a command repeats the order of a rollout that was rolled back a short time ago. Only the
--- a/crates/celerycove-gateway/src/entry.rs
+++ b/crates/celerycove-gateway/src/entry.rs
@@ -398,8 +398,8 @@
                 if self.apply_update(*update) {
                     sender.send(&Frame::RequestView);
                 }
-                let known = self.fleet_state.view().map(|view| view.index);
-                self.rollouts.acknowledge(known, index, number, sender);
+                self.rollouts.acknowledge(index, number, sender);
+                self.acknowledge_due();
             }
             Frame::Evidence(reports) => {
                 let now = clock::now();
--- a/crates/celerycove-gateway/src/entry/rollout.rs
+++ b/crates/celerycove-gateway/src/entry/rollout.rs
@@ -163,6 +163,15 @@
         old.map(|(_, count)| count).sum()
     }
 
+    /// Whether requests run on versions that a completed rollout has replaced.
+    fn is_draining(&self) -> bool {
+        self.services.iter().any(|(service, rules)| {
+            let mut versions = self.in_flight.get(service).into_iter().flatten();
+            rules.rollout.stage == Stage::Completed
+                && versions.any(|(version, _)| rules.excluded.contains(version))
+        })
+    }
+
     fn follow(&mut self, now: Timestamp, fleet: &Fleet, metrics: &Metrics) {
         self.services
             .retain(|service, _| fleet.rollouts.contains_key(service));
@@ -262,34 +271,37 @@
         }
     }
 
-    /// Acknowledges an update once the state of its index is in force, and those that waited for a
-    /// state up to `known`.
-    pub(super) fn acknowledge(
-        &self,
-        known: Option<u64>,
-        index: u64,
-        number: SequenceNumber,
-        sender: &Sender,
-    ) {
-        let known = known.unwrap_or_default();
+    /// Acknowledges an update, at once or when [`acknowledge_due`](Self::acknowledge_due) finds that it
+    /// may be. One without an index needs no state.
+    pub(super) fn acknowledge(&self, index: u64, number: SequenceNumber, sender: &Sender) {
+        if number == UNNUMBERED {
+            return;
+        }
+        if index == 0 {
+            sender.send(&Frame::Acknowledge(number));
+            return;
+        }
         let mut pending = lock(&self.pending);
-        if number != UNNUMBERED {
-            if index <= known {
-                sender.send(&Frame::Acknowledge(number));
-            } else if pending.len() < MAX_PENDING {
-                let sender = sender.clone();
-                pending.push(Pending {
-                    index,
-                    number,
-                    sender,
-                });
-            }
+        if pending.len() < MAX_PENDING {
+            let sender = sender.clone();
+            pending.push(Pending {
+                index,
+                number,
+                sender,
+            });
         }
-        pending.retain(|update| {
-            if update.index <= known {
+    }
+
+    /// Acknowledges the updates that waited for a state up to `known`, unless requests still run on
+    /// versions that a completed rollout has replaced.
+    pub(super) fn acknowledge_due(&self, known: u64) {
+        let is_draining = lock(&self.state).is_draining();
+        lock(&self.pending).retain(|update| {
+            let is_due = update.index <= known && !is_draining;
+            if is_due {
                 update.sender.send(&Frame::Acknowledge(update.number));
             }
-            update.index > known && !update.sender.is_closed()
+            !is_due && !update.sender.is_closed()
         });
     }
 
@@ -477,12 +489,20 @@
         })
     }
 
+    /// Acknowledges the updates whose state is in force.
+    pub(super) fn acknowledge_due(&self) {
+        if let Some(view) = self.fleet_state.view() {
+            self.rollouts.acknowledge_due(view.index);
+        }
+    }
+
     /// Reports what was sent to old and new versions to the leader.
     pub(super) async fn send_rollout_reports(&self) {
         let mut intervals = tokio::time::interval(report::INTERVAL);
         intervals.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
             intervals.tick().await;
+            self.acknowledge_due();
             let reports = self.rollouts.reports(clock::now(), &self.metrics);
             if let Some(leader) = self.fleet_state.leader().filter(|_| !reports.is_empty()) {
                 self.connections
--- a/crates/celerycove-gateway/src/entry/rollout_tests.rs
+++ b/crates/celerycove-gateway/src/entry/rollout_tests.rs
@@ -154,7 +154,10 @@
     // The next rollout counts what still runs.
     follow(&rollouts, &fleet(Stage::Running, 2, &[]));
     assert_eq!(in_flight(&rollouts), 1);
+    // The end is acknowledged once none runs any more.
+    follow(&rollouts, &fleet(Stage::Completed, 2, &["v1"]));
+    assert!(lock(&rollouts.state).is_draining());
     end(later);
-    assert_eq!(in_flight(&rollouts), 0);
+    assert!(!lock(&rollouts.state).is_draining());
     assert!(lock(&rollouts.state).in_flight.is_empty());
 }
--- a/crates/celerycove-gateway/src/message.rs
+++ b/crates/celerycove-gateway/src/message.rs
@@ -169,7 +169,8 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Update {
     /// Numbers the updates of one sender that are to be acknowledged; [`UNNUMBERED`] for others. An
-    /// entry acknowledges one as soon as it also has the state of its index.
+    /// entry acknowledges one as soon as it also has the state of its index, and has no requests on
+    /// versions that a completed rollout has replaced.
     #[serde(rename = "number")]
     pub sequence: SequenceNumber,
     /// The index of the newest state that the sender has applied; zero if that does not matter.
