fix(rollout): steadier reference rate, smaller first step

Cause: at 100 requests/s the first share was 11%, and with a lost leader at 7 s the bound was exceeded. Change: the first step aims for 45 requests; the long average is drawn towards the rate since the start with the weight of 20 answers.

--- a/crates/celerycove-rollout/src/decider/schedule.rs
+++ b/crates/celerycove-rollout/src/decider/schedule.rs
@@ -31,7 +31,7 @@
 /// collection of reports, in which no step was taken.
 const RESUMED_GAP: Duration = Duration::from_millis(1_500);
 /// Requests of the new version that the first step aims for.
-const FIRST_STEP_REQUESTS: f64 = 60.0;
+const FIRST_STEP_REQUESTS: f64 = 45.0;
 /// Largest share of the first step, for a service with few requests.
 const MAX_FIRST_SHARE: f64 = 0.25;
 
--- a/crates/celerycove-rollout/src/statistics/comparison.rs
+++ b/crates/celerycove-rollout/src/statistics/comparison.rs
@@ -23,6 +23,8 @@
 const LEAST_RATE: f64 = 0.02;
 /// Weight, in answers, of the rate assumed while there are few answers.
 const PRIOR_WEIGHT: f64 = 4.0;
+/// The same for the long average, which may be noisy because bursts show in the shorter periods.
+const LONG_PRIOR_WEIGHT: f64 = 20.0;
 /// Standard deviations by which the old version's rate over a shorter period must be higher to be
 /// used instead of the longer average. The highest of several noisy rates would hide bad versions.
 const BURST_DEVIATIONS: f64 = 2.0;
@@ -75,7 +77,11 @@
 
     /// Rate of bad answers, drawn towards `assumed` while there are few.
     fn rate(self, assumed: f64) -> f64 {
-        (self.bad + PRIOR_WEIGHT * assumed) / (self.answered + PRIOR_WEIGHT)
+        self.weighted_rate(assumed, PRIOR_WEIGHT)
+    }
+
+    fn weighted_rate(self, assumed: f64, weight: f64) -> f64 {
+        (self.bad + weight * assumed) / (self.answered + weight)
     }
 }
 
@@ -116,7 +122,8 @@
     /// period if that one is clearly higher.
     fn rate(&self, assumed: [f64; 3]) -> f64 {
         let all = self.all.rate(assumed[2]);
-        let long = self.periods[2].rate(f64::midpoint(all, assumed[2]));
+        let assumed_long = f64::midpoint(all, assumed[2]);
+        let long = self.periods[2].weighted_rate(assumed_long, LONG_PRIOR_WEIGHT);
         let mut highest = long.max(LEAST_RATE);
         for (period, assumed) in self.periods.iter().zip(assumed).take(2) {
             let rate = period.rate(assumed.max(long));
