--- a/crates/celerycove-gateway/src/entry.rs
+++ b/crates/celerycove-gateway/src/entry.rs
@@ -14,6 +14,7 @@
 mod refuse;
 mod relay;
 mod response;
+mod rollout;
 mod serve;
 mod socket;
 mod startup;
@@ -42,7 +43,7 @@
     http::{self, Body},
     link::{self, Connections, Handler, Sender, lock},
     memory::Account,
-    message::{Frame, Peer, RelayedHeartbeat, UNNUMBERED, Update},
+    message::{Frame, Peer, RelayedHeartbeat, Update},
     metrics::Metrics,
     setup::Role,
 };
@@ -73,6 +74,7 @@
     metrics: Arc<Metrics>,
     crashes: crashes::Crashes,
     startup: startup::Startup,
+    rollouts: rollout::Rollouts,
     /// Set once the entry is asked to stop.
     stop: OnceLock<stop::Plan>,
     /// Notified shortly before the process ends: requests that are still open get an answer then.
@@ -127,6 +129,7 @@
         metrics,
         crashes: crashes::Crashes::default(),
         startup: startup::Startup::new(clock::now()),
+        rollouts: rollout::Rollouts::default(),
         stop: OnceLock::new(),
         grace_ended: Notify::new(),
         recent_programs: Mutex::default(),
@@ -155,6 +158,8 @@
     tokio::spawn(async move { reporting.send_reports().await });
     let counting = entry.clone();
     tokio::spawn(async move { counting.send_demand().await });
+    let rollouts = entry.clone();
+    tokio::spawn(async move { rollouts.send_rollout_reports().await });
     let crashes = entry.clone();
     tokio::spawn(async move { crashes.maintain_crashes().await });
     Ok(Running {
@@ -207,6 +212,8 @@
         if changes.view
             && let Some(view) = self.fleet_state.view()
         {
+            self.rollouts
+                .follow(clock::now(), &view.fleet, &self.metrics);
             let config = &view.fleet.config;
             self.rate_limiter
                 .configure(config, view.fleet.entries.len());
@@ -295,6 +302,7 @@
             },
             cold_rate: self.cold_rate(service.cold_rate, &heartbeat.data_centre, entries),
             cache_tokens: service.cache_tokens,
+            version: heartbeat.version.clone(),
         }
     }
 
@@ -390,13 +398,12 @@
     fn receive(&self, _peer: &id::Process, frame: Frame, sender: &Sender) {
         match frame {
             Frame::Update(update) => {
-                let number = update.sequence;
+                let (number, index) = (update.sequence, update.index);
                 if self.apply_update(*update) {
                     sender.send(&Frame::RequestView);
                 }
-                if number != UNNUMBERED {
-                    sender.send(&Frame::Acknowledge(number));
-                }
+                self.rollouts.acknowledge(index, number, sender);
+                self.acknowledge_due();
             }
             Frame::Evidence(reports) => {
                 let now = clock::now();
@@ -409,6 +416,9 @@
             Frame::TotalDemand(data_centre, total) => {
                 lock(&self.servers).merge_demand(clock::now(), data_centre, total);
             }
+            Frame::RolloutLeases(term, leases) => {
+                self.rollouts.accept(clock::now(), term, &leases);
+            }
             _ => {}
         }
     }
