feat(gateway): order turns at engines by program

All turns reached the engines with the rank of their organisation or route, so a first turn could delay a turn of a program in progress, and a program that could no longer finish delayed programs that could.

The priority is now computed by a pure function: programs that can't finish in time come last, then the rank decides, and within a rank turns of programs in progress come before first turns. Requests without a program deadline are ordered by rank only, as before.

--- a/crates/celerycove-gateway/src/entry.rs
+++ b/crates/celerycove-gateway/src/entry.rs
@@ -18,6 +18,7 @@
 mod socket;
 mod stop;
 mod turns;
+mod urgency;
 
 use std::{
     collections::BTreeMap,
--- a/crates/celerycove-gateway/src/entry/exchange.rs
+++ b/crates/celerycove-gateway/src/entry/exchange.rs
@@ -67,6 +67,8 @@
     pub(super) caller_deadline: Timestamp,
     /// Requests with equal affinity prefer the same backend server.
     pub(super) affinity: u64,
+    /// Rank of the organisation or route, 0 first.
+    pub(super) rank: u8,
     /// Priority among a model engine's requests, 0 first; `None` for other services.
     pub(super) priority: Option<u8>,
     /// Backend servers that are not tried again.
--- a/crates/celerycove-gateway/src/entry/serve.rs
+++ b/crates/celerycove-gateway/src/entry/serve.rs
@@ -27,6 +27,7 @@
     hop::strip_hop_by_hop,
     rate_limit::Claim,
     relay::{Relay, ReservationGuard, RetainedTurn},
+    urgency::Turn,
 };
 use crate::{
     clock,
@@ -152,6 +153,7 @@
         let organisation = admitted.organisation.clone();
         let entry = self.clone();
         let mut dispatch = self.new_dispatch(started, head, body, call, request, admitted)?;
+        dispatch.priority = dispatch.engine_priority(claim.begins.is_some());
         (dispatch.digests, dispatch.is_trial) = (digests, is_trial);
         let result = if dispatch.route.kind == Kind::Streaming {
             forward_stream(dispatch).await
@@ -282,7 +284,8 @@
         Ok(Dispatch {
             affinity: affinity_hash(affinity_key),
             service: target.service.clone(),
-            priority: (!call.prompt.is_empty()).then_some(priority.min(9)),
+            rank: priority,
+            priority: None,
             entry: self,
             index,
             organisation,
@@ -307,6 +310,19 @@
     }
 }
 
+impl Dispatch {
+    /// Returns the priority in an engine's queue; `None` for other services.
+    fn engine_priority(&self, begins_program: bool) -> Option<u8> {
+        let turn = Turn {
+            rank: self.rank,
+            begins_program,
+            program_deadline: self.call.program_deadline,
+            max_tokens: self.call.tokens.map_or(0, |(_, most)| most),
+        };
+        (!self.call.prompt.is_empty()).then(|| turn.priority())
+    }
+}
+
 /// Returns the size of a request's head in bytes. Hyper itself limits only the part that it has to
 /// buffer.
 fn head_bytes(head: &Parts) -> usize {
