--- a/crates/celerycove-queue/src/fair.rs
+++ b/crates/celerycove-queue/src/fair.rs
@@ -77,7 +77,22 @@
         self.queued_ids.contains(id)
     }
 
-    /// Adds a request.
+    /// Returns the number of queued requests of an organisation.
+    #[must_use]
+    pub fn queued_of(&self, organisation: &str) -> usize {
+        self.flows
+            .get(organisation)
+            .map_or(0, |flow| flow.queued.len())
+    }
+
+    /// Returns the number of organisations with queued requests.
+    #[must_use]
+    pub fn backlogged(&self) -> usize {
+        let flows = self.flows.values();
+        flows.filter(|flow| !flow.queued.is_empty()).count()
+    }
+
+    /// Adds a request. `now` may lie in the past for a request that keeps an earlier place.
     pub fn push(&mut self, job: Job, now: Timestamp) {
         let virtual_time = self.virtual_time;
         let flow = self.flows.entry(job.organisation.clone()).or_default();
