feat(gateway): hold back first turns while their service is overloaded

Entries forwarded everything at once. In an overload, all programs slowed down together and ended late.

Each entry now has an admission gate for each service, between the rate limit and the stores. A stop and a removed service refuse the waiting turns, and a new configuration checks their keys again. The time that the stores take is no sign of overload.

--- a/crates/celerycove-gateway/src/entry.rs
+++ b/crates/celerycove-gateway/src/entry.rs
@@ -6,6 +6,7 @@
 mod events;
 mod exchange;
 mod hop;
+mod intake;
 mod outage;
 mod outbox;
 mod pool;
@@ -72,6 +73,8 @@
     turns: Arc<turns::Client>,
     metrics: Arc<Metrics>,
     crashes: crashes::Crashes,
+    /// Holds back first turns while a service is overloaded.
+    intakes: Arc<intake::Intakes>,
     /// Set once the entry is asked to stop.
     stop: OnceLock<stop::Plan>,
     /// Notified shortly before the process ends: requests that are still open get an answer then.
@@ -123,6 +126,7 @@
         pool: Arc::default(),
         turns: turns::Client::start(connections.clone(), metrics.clone()),
         connections: connections.clone(),
+        intakes: intake::Intakes::start(metrics.clone()),
         metrics,
         crashes: crashes::Crashes::default(),
         stop: OnceLock::new(),
@@ -170,6 +174,7 @@
         let grace_period = self.entry.setup.bounds.grace_period;
         let plan = stop::Plan::new(clock::now(), grace_period);
         let plan = self.entry.stop.get_or_init(|| plan);
+        self.entry.intakes.stop();
         tokio::time::sleep(plan.until_late(clock::now())).await;
         // The receiver is gone only if the server has already ended.
         let _ = self.stop.send(true);
@@ -214,6 +219,7 @@
                 .is_some_and(|index| Arc::ptr_eq(index.config(), config))
             {
                 self.index.store(Some(Arc::new(Index::new(config.clone()))));
+                self.intakes.configure(config);
             }
         }
         if changes.view || !changes.beats.is_empty() {
--- a/crates/celerycove-gateway/src/entry/exchange.rs
+++ b/crates/celerycove-gateway/src/entry/exchange.rs
@@ -20,6 +20,7 @@
 use super::{
     Entry, Refusal,
     crashes::Broken,
+    intake::Pass,
     pool::{PooledConnection, SendError},
     response::{BufferError, collect, is_delimited, keeps_alive},
 };
@@ -71,6 +72,8 @@
     pub(super) rank: u8,
     /// Priority among a model engine's requests, 0 first; `None` for other services.
     pub(super) priority: Option<u8>,
+    /// The turn's pass through the admission gate, if one applies.
+    pub(super) pass: Option<Pass>,
     /// Backend servers that are not tried again.
     pub(super) excluded: Vec<id::Backend>,
     /// Attempts in which a backend server may have run the request.
--- a/crates/celerycove-gateway/src/entry/refuse.rs
+++ b/crates/celerycove-gateway/src/entry/refuse.rs
@@ -44,6 +44,8 @@
     NoStore(Duration),
     /// The request has crashed the backend servers that ran it; it is held back for the given time.
     Quarantined(Duration),
+    /// The service is overloaded and the program has not begun; it may begin after the given time.
+    Overloaded(Duration),
     /// No backend server can take the request now.
     NoServer,
     /// All backend servers that were tried declined the request or were out of reach.
@@ -83,6 +85,7 @@
             | Self::NoMemory
             | Self::NoStore(_)
             | Self::Quarantined(_)
+            | Self::Overloaded(_)
             | Self::NoServer
             | Self::Declined
             | Self::TooLate => StatusCode::SERVICE_UNAVAILABLE,
@@ -98,9 +101,10 @@
     /// Returns the delay after which the caller may retry, if a retry makes sense.
     fn retry_after(self) -> Option<Duration> {
         match self {
-            Self::OverRate(delay) | Self::NoStore(delay) | Self::Quarantined(delay) => {
-                Some(delay.max(RETRY_AFTER_FULL))
-            }
+            Self::OverRate(delay)
+            | Self::NoStore(delay)
+            | Self::Quarantined(delay)
+            | Self::Overloaded(delay) => Some(delay.max(RETRY_AFTER_FULL)),
             Self::NotReady | Self::NoServer => Some(RETRY_AFTER_UNAVAILABLE),
             Self::Stopping | Self::NoMemory | Self::Declined => Some(RETRY_AFTER_FULL),
             _ => None,
--- a/crates/celerycove-gateway/src/entry/relay.rs
+++ b/crates/celerycove-gateway/src/entry/relay.rs
@@ -146,6 +146,10 @@
                 .ok()
                 .filter(|exchange| exchange.head.status.is_success());
         };
+        if stop == Stop::Whole {
+            let generated = self.event_count * self.event_tokens;
+            self.dispatch.finish_turn(generated);
+        }
         let stop = match stop {
             Stop::Whole => self.store_turn(&sender).await,
             stop => stop,
--- a/crates/celerycove-gateway/src/entry/serve.rs
+++ b/crates/celerycove-gateway/src/entry/serve.rs
@@ -286,6 +286,7 @@
             service: target.service.clone(),
             rank: priority,
             priority: None,
+            pass: None,
             entry: self,
             index,
             organisation,
@@ -363,6 +364,11 @@
 
 /// Begins a turn if the route or a budget demands it, and forwards the stream of an engine.
 async fn forward_stream(mut dispatch: Dispatch) -> Result<Response<Body>, Refusal> {
+    dispatch.pass = dispatch.entry.intakes.enter(&dispatch).await?;
+    if dispatch.pass.as_ref().is_some_and(|pass| pass.is_first) {
+        // Also if it was refused before and has come back.
+        dispatch.priority = dispatch.engine_priority(true);
+    }
     let (mut reservation, mut retained) = (None, None);
     if dispatch.route.stores_turns || dispatch.call.budget.is_some() {
         let (guard, chain) = begin_turn(&dispatch).await?;
@@ -371,6 +377,9 @@
         }
         reservation = Some(guard);
     }
+    if let Some(pass) = &dispatch.pass {
+        pass.record_sent(&dispatch);
+    }
     let exchange = dispatch.begin_response(dispatch.call.last_event).await?;
     let is_stream = exchange
         .head
--- a/crates/celerycove-gateway/src/metrics.rs
+++ b/crates/celerycove-gateway/src/metrics.rs
@@ -47,6 +47,9 @@
     backend_crashes: Counter<u64>,
     quarantined_requests: Gauge<u64>,
     quarantine_refusals: Counter<u64>,
+    admission_waiting: Gauge<u64>,
+    admission_refusals: Counter<u64>,
+    admission_wait_seconds: Histogram<f64>,
     log_lines_dropped: Gauge<u64>,
     log_output: std::sync::OnceLock<Arc<celerycove_log::Counters>>,
     memory_bytes: Gauge<u64>,
@@ -80,6 +83,11 @@
             backend_crashes: meter.u64_counter("celerycove_backend_crashes").build(),
             quarantined_requests: meter.u64_gauge("celerycove_quarantined_requests").build(),
             quarantine_refusals: meter.u64_counter("celerycove_quarantine_refusals").build(),
+            admission_waiting: meter.u64_gauge("celerycove_admission_waiting").build(),
+            admission_refusals: meter.u64_counter("celerycove_admission_refused").build(),
+            admission_wait_seconds: meter
+                .f64_histogram("celerycove_admission_wait_seconds")
+                .build(),
             log_lines_dropped: meter.u64_gauge("celerycove_log_lines_dropped").build(),
             memory_bytes: meter.u64_gauge("celerycove_memory_bytes").build(),
             memory_limit_bytes: meter.u64_gauge("celerycove_memory_limit_bytes").build(),
@@ -170,6 +178,24 @@
         self.quarantine_refusals.add(1, &[]);
     }
 
+    /// Records how many first turns wait at the admission gates now.
+    pub fn record_admission_waiting(&self, count: usize) {
+        self.admission_waiting
+            .record(u64::try_from(count).unwrap_or(u64::MAX), &[]);
+    }
+
+    /// Counts a first turn that an admission gate refused.
+    pub fn record_admission_refusal(&self, reason: &'static str) {
+        self.admission_refusals
+            .add(1, &[KeyValue::new("reason", reason)]);
+    }
+
+    /// Records how long a first turn waited before it started.
+    pub fn record_admission_wait(&self, waited: Duration) {
+        self.admission_wait_seconds
+            .record(waited.as_secs_f64(), &[]);
+    }
+
     fn encode(&self) -> Result<Vec<u8>, Error> {
         if let Some(output) = self.log_output.get() {
             self.log_lines_dropped.record(output.counts().1, &[]);
--- a/crates/celerycove-gateway/tests/callers/dialect.rs
+++ b/crates/celerycove-gateway/tests/callers/dialect.rs
@@ -12,6 +12,7 @@
 use celerycove_gateway::dialect::{
     Attempt, Dialect, MalformedField, Operation, RequestMetadata, ResponseMetadata,
 };
+use celerycove_route::prefix::Part;
 use celerycove_types::id;
 use hyper::{
     HeaderMap, Method, Uri,
@@ -42,6 +43,11 @@
             tokens: number(headers, "most").map(|most| (0, most)),
             previous_turn: text(headers, "previous").map(Into::into),
             last_event: number(headers, "last-event-id"),
+            program_deadline: number(headers, "finish").map(Duration::from_millis),
+            prompt: number(headers, "prompt")
+                .map(|id| Part { id, tokens: 10 })
+                .into_iter()
+                .collect(),
             ..RequestMetadata::default()
         })
     }
--- a/crates/celerycove-gateway/tests/callers/fleet.rs
+++ b/crates/celerycove-gateway/tests/callers/fleet.rs
@@ -437,6 +437,20 @@
         exchange(self.caller_address, request.body(body).expect("a request")).await
     }
 
+    /// Sends a turn with a prompt, of a program that should be finished within a time.
+    pub async fn program_turn(&self, id: &str, program: &str, finish: Duration) -> Reply {
+        let request = Request::post("/resumable/x")
+            .header("host", "test")
+            .header("id", id)
+            .header("key", "key-1")
+            .header("program", program)
+            .header("prompt", "1")
+            .header("most", "6")
+            .header("finish", finish.as_millis().to_string());
+        let request = request.body(Full::from(id.to_owned())).expect("a request");
+        exchange(self.caller_address, request).await
+    }
+
     /// Reads the first event of a stream and closes the connection.
     pub async fn disconnect_after_first_event(&self, id: &str, path: &str) {
         let request = Request::post(path)
--- a/crates/celerycove-queue/src/intake.rs
+++ b/crates/celerycove-queue/src/intake.rs
@@ -64,7 +64,7 @@
 pub enum Gate {
     /// They are admitted, or wait while the service is overloaded.
     Open,
-    /// The entry is stopping: none is admitted and none waits.
+    /// The entry is stopping: none waits, and those that would have to wait are refused.
     Stopping,
 }
 
@@ -277,7 +277,7 @@
     }
 
     fn arrive(&mut self, job: Job, actions: &mut Vec<Action>) {
-        if self.gate == Some(Gate::Stopping) {
+        if self.gate == Some(Gate::Stopping) && self.is_limit_reached() {
             actions.push(Action::Refuse {
                 id: job.id,
                 reason: Reason::Stopping,
