fix(queue): bound the programs that an intake counts

Programs with a single turn stay counted for some seconds, so their number at an entry grew with the rate of new programs. At most 16,384 are counted now; further ones start without being counted.

--- a/crates/celerycove-queue/src/intake.rs
+++ b/crates/celerycove-queue/src/intake.rs
@@ -418,7 +418,9 @@
                 return;
             };
             actions.push(Action::Start(job.id.clone()));
-            self.programs.start(self.now, job);
+            if let Some(ended) = self.programs.start(self.now, job) {
+                self.scheduler.finish(&ended, ended.cost);
+            }
         }
     }
 }
--- a/crates/celerycove-queue/src/intake/programs.rs
+++ b/crates/celerycove-queue/src/intake/programs.rs
@@ -24,6 +24,9 @@
 /// Number of ended programs that are still known to have begun.
 const MAX_ENDED: usize = 4_096;
 
+/// Limit on counted programs, several times those that run through one entry at a time.
+const MAX_IN_PROGRESS: usize = 16_384;
+
 #[derive(Debug)]
 struct Progress {
     /// The job of the first turn, if this entry started it.
@@ -64,18 +67,25 @@
         self.in_progress.contains_key(program) || self.ended_names.contains(program)
     }
 
-    /// Counts the program of a first turn as in progress.
-    pub(super) fn start(&mut self, now: Timestamp, job: Job) {
-        if let Some(program) = job.program.clone() {
-            let progress = Progress {
-                job: Some(job),
-                begun_at: now,
-                last_turn_at: now,
-                running: 0,
-                due: None,
-            };
-            self.in_progress.insert(program, progress);
-        }
+    /// Counts the program of a first turn as in progress. Returns the jobs that count as ended: that of
+    /// an earlier first turn of the program, or the new one if it can't be counted.
+    pub(super) fn start(&mut self, now: Timestamp, job: Job) -> Option<Job> {
+        let Some(program) = job.program.clone().filter(|_| self.has_room()) else {
+            return Some(job);
+        };
+        let progress = Progress {
+            job: Some(job),
+            begun_at: now,
+            last_turn_at: now,
+            running: 0,
+            due: None,
+        };
+        let previous = self.in_progress.insert(program, progress);
+        previous.and_then(|progress| progress.job)
+    }
+
+    fn has_room(&self) -> bool {
+        self.len() < MAX_IN_PROGRESS
     }
 
     /// Records that a turn of a program starts.
@@ -85,6 +95,9 @@
         program: &id::Program,
         due: Option<Timestamp>,
     ) {
+        if !self.has_room() && !self.in_progress.contains_key(program) {
+            return;
+        }
         let progress = self
             .in_progress
             .entry(program.clone())
