--- a/crates/celerycove-gateway/src/entry.rs
+++ b/crates/celerycove-gateway/src/entry.rs
@@ -6,6 +6,7 @@
 mod events;
 mod exchange;
 mod hop;
+mod intake;
 mod outage;
 mod outbox;
 mod pool;
@@ -20,6 +21,7 @@
 mod startup;
 mod stop;
 mod turns;
+mod urgency;
 
 use std::{
     collections::BTreeMap,
@@ -75,6 +77,8 @@
     crashes: crashes::Crashes,
     startup: startup::Startup,
     rollouts: rollout::Rollouts,
+    /// Holds back first turns while a service is overloaded.
+    intakes: Arc<intake::Intakes>,
     /// Set once the entry is asked to stop.
     stop: OnceLock<stop::Plan>,
     /// Notified shortly before the process ends: requests that are still open get an answer then.
@@ -126,6 +130,7 @@
         pool: Arc::default(),
         turns: turns::Client::start(connections.clone(), metrics.clone()),
         connections: connections.clone(),
+        intakes: intake::Intakes::start(metrics.clone()),
         metrics,
         crashes: crashes::Crashes::default(),
         startup: startup::Startup::new(clock::now()),
@@ -177,6 +182,7 @@
         let grace_period = self.entry.setup.bounds.grace_period;
         let plan = stop::Plan::new(clock::now(), grace_period);
         let plan = self.entry.stop.get_or_init(|| plan);
+        self.entry.intakes.stop();
         tokio::time::sleep(plan.until_late(clock::now())).await;
         // The receiver is gone only if the server has already ended.
         let _ = self.stop.send(true);
@@ -224,6 +230,7 @@
             {
                 self.index.store(Some(Arc::new(Index::new(config.clone()))));
                 self.startup.set_configured();
+                self.intakes.configure(config);
             }
         }
         if changes.view || !changes.beats.is_empty() {
--- a/crates/celerycove-gateway/src/metrics.rs
+++ b/crates/celerycove-gateway/src/metrics.rs
@@ -50,6 +50,9 @@
     rollout_requests: Counter<u64>,
     rollout_bad: Counter<u64>,
     rollout_share: Gauge<f64>,
+    admission_waiting: Gauge<u64>,
+    admission_refusals: Counter<u64>,
+    admission_wait_seconds: Histogram<f64>,
     log_lines_dropped: Gauge<u64>,
     log_output: std::sync::OnceLock<Arc<celerycove_log::Counters>>,
     memory_bytes: Gauge<u64>,
@@ -86,6 +89,11 @@
             rollout_requests: meter.u64_counter("celerycove_rollout_requests").build(),
             rollout_bad: meter.u64_counter("celerycove_rollout_bad").build(),
             rollout_share: meter.f64_gauge("celerycove_rollout_share").build(),
+            admission_waiting: meter.u64_gauge("celerycove_admission_waiting").build(),
+            admission_refusals: meter.u64_counter("celerycove_admission_refused").build(),
+            admission_wait_seconds: meter
+                .f64_histogram("celerycove_admission_wait_seconds")
+                .build(),
             log_lines_dropped: meter.u64_gauge("celerycove_log_lines_dropped").build(),
             memory_bytes: meter.u64_gauge("celerycove_memory_bytes").build(),
             memory_limit_bytes: meter.u64_gauge("celerycove_memory_limit_bytes").build(),
@@ -193,6 +201,24 @@
         self.rollout_share.record(share, &label);
     }
 
+    /// Records how many first turns wait at the admission gates now.
+    pub fn record_admission_waiting(&self, count: usize) {
+        self.admission_waiting
+            .record(u64::try_from(count).unwrap_or(u64::MAX), &[]);
+    }
+
+    /// Counts a first turn that an admission gate refused.
+    pub fn record_admission_refusal(&self, reason: &'static str) {
+        self.admission_refusals
+            .add(1, &[KeyValue::new("reason", reason)]);
+    }
+
+    /// Records how long a first turn waited before it started.
+    pub fn record_admission_wait(&self, waited: Duration) {
+        self.admission_wait_seconds
+            .record(waited.as_secs_f64(), &[]);
+    }
+
     fn encode(&self) -> Result<Vec<u8>, Error> {
         if let Some(output) = self.log_output.get() {
             self.log_lines_dropped.record(output.counts().1, &[]);
