feat(route): keep each shared part of prompts on a subset of the engines

Cause: every entry assumed that each engine has each shared part cached. With sixteen parts of 2,560 tokens and 131,445 tokens of memory for running requests and cached parts, an engine that serves all parts evicts them and reads them again. Change: where the shared parts of a service exceed a tenth of an engine's memory, each one is kept by engines that all entries select by rendezvous hashing of part and engine, within each data centre. A smaller set is part of a larger one. Elsewhere the part counts as not cached, unless the program's history is there. With few parts the sets are larger, so that no engine is left without work. Parts that were not seen for a minute are forgotten.

--- a/crates/celerycove-route/src/direct.rs
+++ b/crates/celerycove-route/src/direct.rs
@@ -176,7 +176,8 @@
     data_centre: id::DataCentre,
     /// Requests of other entries.
     demand: Demand,
-    shared_parts: SharedParts,
+    /// The shared parts of each service's prompts.
+    shared_parts: Map<Arc<str>, SharedParts>,
     /// The backend servers that have said that they leave.
     departures: Departures,
 }
@@ -213,6 +214,8 @@
             servers.push(server);
         }
         servers.sort_by(|a, b| a.registration.backend.cmp(&b.registration.backend));
+        let shared_parts = self.shared_parts.entry(service.clone()).or_default();
+        shared_parts.reset_homes();
     }
 
     /// Records a heartbeat of a registered incarnation that changed nothing else.
@@ -256,6 +259,7 @@
     /// Removes the services for which `keep` returns false.
     pub fn retain(&mut self, keep: impl Fn(&str) -> bool) {
         self.services.retain(|service, _| keep(service));
+        self.shared_parts.retain(|service, _| keep(service));
     }
 
     /// Selects a backend server and counts the request as sent to it, also against its cold-start
@@ -266,12 +270,13 @@
         service: &str,
         request: &Request<'_>,
     ) -> Option<Selection> {
-        let shared_tokens = self.shared_parts.observe(request.affinity, request.prompt);
         let servers = self.services.get_mut(service)?;
+        let shared_parts = self.shared_parts.get_mut(service)?;
+        let shared = shared_parts.observe(now, request.affinity, request.prompt, servers);
         let Choices {
             candidates,
             considered,
-        } = choices(now, servers, request, &self.data_centre);
+        } = choices(now, servers, request, &self.data_centre, shared);
         let scores = considered.into_iter().map(|(index, rank)| {
             let server = &servers[index];
             let Registration {
@@ -280,7 +285,8 @@
                 ..
             } = &server.registration;
             let conditions = Conditions {
-                shared_tokens,
+                shared_tokens: shared.tokens,
+                is_home: shared.is_home(index),
                 elsewhere: self.demand.of_others(now, backend, data_centre),
                 rank,
                 is_local: *data_centre == self.data_centre,
@@ -404,8 +410,10 @@
 /// What matters for a request's delay at a backend server besides the server's own state.
 #[derive(Debug, Clone, Copy)]
 struct Conditions {
-    /// Tokens at the start of the prompt that every engine has cached.
+    /// Tokens at the start of the prompt that the engines which keep them have cached.
     shared_tokens: id::Tokens,
+    /// Whether it keeps those tokens cached.
+    is_home: bool,
     /// Requests of other entries in flight there, if known.
     elsewhere: Option<u32>,
     /// Its place in the program's order; 0 is the first.
@@ -515,6 +523,19 @@
         prompt.len() > 1 && self.prefix_cache.cached_parts(prompt) > 1
     }
 
+    /// Estimates how many tokens at the start of a prompt it has cached. An engine that does not keep
+    /// a shared part evicts it soon, except before the history of a program that it serves.
+    fn cached_tokens(&self, prompt: &[Part], conditions: Conditions) -> id::Tokens {
+        if conditions.is_home {
+            let cached = self.prefix_cache.cached_tokens(prompt);
+            cached.max(conditions.shared_tokens)
+        } else if self.holds_history(prompt) {
+            self.prefix_cache.cached_tokens(prompt)
+        } else {
+            0
+        }
+    }
+
     /// Estimates the running and the waiting requests from those of all entries. If those of other
     /// entries are not known, it uses the last reported load and the requests sent since.
     fn estimated_load(&self, now: Timestamp, elsewhere: Option<u32>) -> (u32, u32) {
@@ -545,8 +566,8 @@
     ) -> Duration {
         let (running, waiting) = self.estimated_load(now, conditions.elsewhere);
         let prompt: id::Tokens = request.prompt.iter().map(|part| part.tokens).sum();
-        let cached = self.prefix_cache.cached_tokens(request.prompt);
-        let uncached = prompt.saturating_sub(cached.max(conditions.shared_tokens));
+        let cached = self.cached_tokens(request.prompt, conditions);
+        let uncached = prompt.saturating_sub(cached);
         let prefill = PREFILL_PER_TOKEN * u32::try_from(uncached).unwrap_or(u32::MAX);
         let running_delay = if request.prompt.is_empty() {
             // A plain service runs requests independently, so only a full one is slow.
--- a/crates/celerycove-route/src/direct/order.rs
+++ b/crates/celerycove-route/src/direct/order.rs
@@ -3,7 +3,7 @@
 
 use celerycove_types::{Timestamp, id};
 
-use super::{Request, Server};
+use super::{Request, Server, shared::Shared};
 
 /// Number of backend servers up to which all of them are considered for a request.
 const SMALL_POOL: usize = 16;
@@ -11,6 +11,11 @@
 const LOCAL_CHOICES: usize = 3;
 /// How many backend servers of other data centres are considered in a larger pool.
 const REMOTE_CHOICES: usize = 2;
+/// How many backend servers of the local data centre are considered in a larger pool besides those
+/// that keep the prompt's shared part, in case those are overloaded.
+const LOCAL_OTHERS: usize = 2;
+/// How many of other data centres.
+const REMOTE_OTHERS: usize = 1;
 
 /// The backend servers to compare for a request.
 pub(super) struct Choices {
@@ -26,22 +31,24 @@
 
 /// Returns the backend servers to compare for a request: all of a small pool; of a large one, the first
 /// few of the order in the local data centre and in others, and those that this entry sent the
-/// program's history to.
+/// program's history to. Those that keep the prompt's shared part come before all others.
 pub(super) fn choices(
     now: Timestamp,
     servers: &mut [Server],
     request: &Request<'_>,
     data_centre: &id::DataCentre,
+    shared: Shared<'_>,
 ) -> Choices {
     let is_small = servers.len() <= SMALL_POOL;
     let limits = if is_small {
-        [SMALL_POOL, SMALL_POOL]
+        [SMALL_POOL; 4]
     } else {
-        [LOCAL_CHOICES, REMOTE_CHOICES]
+        [LOCAL_CHOICES, REMOTE_CHOICES, LOCAL_OTHERS, REMOTE_OTHERS]
     };
     let mut candidates = 0;
-    // The first ones of the local data centre and of others.
-    let mut first: [Vec<(Place, usize)>; 2] = [Vec::new(), Vec::new()];
+    // The first ones of the local data centre and of others that keep the shared part, then those
+    // that don't.
+    let mut first: [Vec<(Place, usize)>; 4] = Default::default();
     let mut with_history = Vec::new();
     for (index, server) in servers.iter_mut().enumerate() {
         if request.excluded.contains(&server.registration.backend) || !server.accepts_request(now) {
@@ -50,10 +57,11 @@
         candidates += 1;
         let weight = rendezvous_weight(request.affinity, server.name_hash);
         let place = (server.is_suspect(now), u64::MAX - weight);
-        let group = usize::from(server.registration.data_centre != *data_centre);
+        let is_remote = usize::from(server.registration.data_centre != *data_centre);
+        let group = is_remote + 2 * usize::from(!shared.is_home(index));
         insert_first(&mut first[group], (place, index), limits[group]);
         if !is_small && server.holds_history(request.prompt) {
-            with_history.push((index, rank(limits[group])));
+            with_history.push((index, rank(limits[is_remote])));
         }
     }
     let ranked = first.iter().flat_map(|group| {
@@ -84,7 +92,7 @@
 }
 
 /// Returns the rendezvous hashing weight of a backend server, which is equal at every entry.
-fn rendezvous_weight(affinity: u64, name_hash: u64) -> u64 {
+pub(super) fn rendezvous_weight(affinity: u64, name_hash: u64) -> u64 {
     let mut hash = affinity ^ name_hash.rotate_left(23);
     hash = hash.wrapping_mul(0x9E37_79B9_7F4A_7C15);
     hash ^= hash >> 29;
