feat(route): count the slowdown that a backend server reports

Cause: a tenth to a sixth of the servers are slowed down by neighbours for fractions of a second, and the load header tells it (fourth figure, percent), but it was not read. Change: Load.slowdown, bounded to 10 to 10,000. It has full weight when it arrives and none after 300 ms, and affects at most the work that fits into 200 ms, after which the server is assumed to run as usual. The score of a server is a struct of its components in direct/score.rs; the sum may be negative for a server that is faster than usual. Existing tests: two in tests/direct.rs build a Load and name the new field (None); nothing else in them changed.

--- a/crates/celerycove-route/src/direct.rs
+++ b/crates/celerycove-route/src/direct.rs
@@ -10,6 +10,7 @@
 mod departure;
 mod order;
 mod report;
+mod score;
 mod shared;
 
 use std::{sync::Arc, time::Duration};
@@ -21,25 +22,11 @@
     demand::{Counts, Demand},
     departure::Departures,
     order::{Choices, choices, name_hash},
+    score::Conditions,
     shared::SharedParts,
 };
 use crate::prefix::{Cache, Part};
 
-/// Time to prefill one uncached token on an idle engine of the deployments in `etc/`.
-const PREFILL_PER_TOKEN: Duration = Duration::from_micros(33);
-/// Delay that each running request adds to the others, by slower steps and interleaved prefill
-/// chunks.
-const DELAY_PER_RUNNING: Duration = Duration::from_millis(3);
-/// Delay that each waiting request adds to those behind it: about the time until a slot is free.
-const DELAY_PER_WAITING: Duration = Duration::from_millis(60);
-/// Delay added to a plain call to another data centre: the round trip.
-const REMOTE_CALL_DELAY: Duration = Duration::from_millis(4);
-/// Delay added to a prompt for another data centre: the round trip, and the traffic between data
-/// centres, which costs users more than a step or two of an engine. Half the time to prefill a
-/// thousand tokens, so that a cached history still outweighs the distance.
-const REMOTE_PROMPT_DELAY: Duration = Duration::from_millis(16);
-/// Age from which a load reported with a response is ignored.
-const MAX_LOAD_AGE: Duration = Duration::from_secs(1);
 /// How long a backend server is ejected after its first failure; doubles with each further failure.
 const BASE_EJECTION: Duration = Duration::from_millis(500);
 /// Maximum time that a backend server is ejected before it is tried again.
@@ -52,9 +39,6 @@
 const EJECTION_SCORE: f64 = 1.4;
 /// A backend server that has been silent for this long is used only if no other is left.
 const MAX_SILENCE: Duration = Duration::from_secs(5);
-/// Delay by which a backend server must be better than its predecessor in a program's order, so
-/// that the program's turns find each other's prefixes.
-const RANK_DELAY: Duration = Duration::from_millis(10);
 /// Size of an engine's prefix cache where its configuration does not set one.
 const DEFAULT_CACHE_TOKENS: id::Tokens = 100_000;
 
@@ -88,6 +72,15 @@
     pub running: u32,
     /// Number of requests waiting for a slot.
     pub waiting: u32,
+    /// How long a request takes at this moment, in percent of the usual time, if reported.
+    pub slowdown: Option<u32>,
+}
+
+impl Load {
+    /// The least slowdown that is used, in percent.
+    pub const MIN_SLOWDOWN: u32 = 10;
+    /// The largest slowdown that is used, in percent.
+    pub const MAX_SLOWDOWN: u32 = 10_000;
 }
 
 /// Outcome of a request, for assessing the health of the backend server.
@@ -291,10 +284,10 @@
                 rank,
                 is_local: *data_centre == self.data_centre,
             };
-            let delay = server.expected_delay(now, request, conditions);
-            (server.is_suspect(now), delay, rank, index)
+            let score = server.score(now, request, conditions);
+            (server.is_suspect(now), score.total_micros(), rank, index)
         });
-        let (_, expected, _, index) = scores.min()?;
+        let (_, expected_micros, _, index) = scores.min()?;
         let server = &mut servers[index];
         server.record_dispatch(now);
         let cached = server.prefix_cache.cached_tokens(request.prompt);
@@ -308,7 +301,7 @@
             incarnation: server.registration.incarnation,
             address: server.registration.address,
             cached_tokens: cached,
-            expected_delay: expected,
+            expected_delay: Duration::from_micros(expected_micros.try_into().unwrap_or(0)),
             candidates,
             heartbeat_age: now.saturating_sub(server.registration.last_heartbeat),
         })
@@ -407,21 +400,6 @@
     }
 }
 
-/// What matters for a request's delay at a backend server besides the server's own state.
-#[derive(Debug, Clone, Copy)]
-struct Conditions {
-    /// Tokens at the start of the prompt that the engines which keep them have cached.
-    shared_tokens: id::Tokens,
-    /// Whether it keeps those tokens cached.
-    is_home: bool,
-    /// Requests of other entries in flight there, if known.
-    elsewhere: Option<u32>,
-    /// Its place in the program's order; 0 is the first.
-    rank: u32,
-    /// Whether it is in the entry's data centre.
-    is_local: bool,
-}
-
 impl Server {
     fn new(now: Timestamp, registration: Registration) -> Self {
         Self {
@@ -522,73 +500,6 @@
     fn holds_history(&self, prompt: &[Part]) -> bool {
         prompt.len() > 1 && self.prefix_cache.cached_parts(prompt) > 1
     }
-
-    /// Estimates how many tokens at the start of a prompt it has cached. An engine that does not keep
-    /// a shared part evicts it soon, except before the history of a program that it serves.
-    fn cached_tokens(&self, prompt: &[Part], conditions: Conditions) -> id::Tokens {
-        if conditions.is_home {
-            let cached = self.prefix_cache.cached_tokens(prompt);
-            cached.max(conditions.shared_tokens)
-        } else if self.holds_history(prompt) {
-            self.prefix_cache.cached_tokens(prompt)
-        } else {
-            0
-        }
-    }
-
-    /// Estimates the running and the waiting requests from those of all entries. If those of other
-    /// entries are not known, it uses the last reported load and the requests sent since.
-    fn estimated_load(&self, now: Timestamp, elsewhere: Option<u32>) -> (u32, u32) {
-        let slots = self.registration.slots;
-        if let Some(elsewhere) = elsewhere {
-            let total = self.in_flight + elsewhere;
-            return (total.min(slots), total.saturating_sub(slots));
-        }
-        let recent = self
-            .load
-            .filter(|(_, reported_at)| now.saturating_sub(*reported_at) < MAX_LOAD_AGE);
-        let (running, waiting) = recent.map_or((0, 0), |(load, _)| {
-            let running = load.running.saturating_add(self.sent_since_load);
-            (running, load.waiting)
-        });
-        let running = self.in_flight.max(running);
-        let excess = running.saturating_sub(slots);
-        (running.min(slots), waiting.saturating_add(excess))
-    }
-
-    /// Returns the expected delay until the first token, beyond that of an idle local engine with
-    /// the prompt cached.
-    fn expected_delay(
-        &self,
-        now: Timestamp,
-        request: &Request<'_>,
-        conditions: Conditions,
-    ) -> Duration {
-        let (running, waiting) = self.estimated_load(now, conditions.elsewhere);
-        let prompt: id::Tokens = request.prompt.iter().map(|part| part.tokens).sum();
-        let cached = self.cached_tokens(request.prompt, conditions);
-        let uncached = prompt.saturating_sub(cached);
-        let prefill = PREFILL_PER_TOKEN * u32::try_from(uncached).unwrap_or(u32::MAX);
-        let running_delay = if request.prompt.is_empty() {
-            // A plain service runs requests independently, so only a full one is slow.
-            DELAY_PER_RUNNING * running * 2 / self.registration.slots.max(1)
-        } else {
-            DELAY_PER_RUNNING * running
-        };
-        let network_delay = if conditions.is_local {
-            Duration::ZERO
-        } else if request.prompt.is_empty() {
-            REMOTE_CALL_DELAY
-        } else {
-            REMOTE_PROMPT_DELAY
-        };
-        let rank_delay = if request.prompt.is_empty() {
-            Duration::ZERO
-        } else {
-            RANK_DELAY * conditions.rank
-        };
-        prefill + running_delay + DELAY_PER_WAITING * waiting + network_delay + rank_delay
-    }
 }
 
 /// Hashes a name to an affinity, which is equal in every process.
--- /dev/null
+++ b/crates/celerycove-route/src/direct/score.rs
@@ -0,0 +1,188 @@
+//! How long a request is expected to take at a backend server.
+
+use std::time::Duration;
+
+use celerycove_types::{Timestamp, id};
+
+use super::{Load, Request, Server};
+use crate::prefix::Part;
+
+/// Time to prefill one uncached token on an idle engine of the deployments in `etc/`.
+const PREFILL_PER_TOKEN: Duration = Duration::from_micros(33);
+/// Delay that each running request adds to the others, by slower steps and interleaved prefill
+/// chunks.
+const DELAY_PER_RUNNING: Duration = Duration::from_millis(3);
+/// Delay that each waiting request adds to those behind it: about the time until a slot is free.
+const DELAY_PER_WAITING: Duration = Duration::from_millis(60);
+/// Time that a plain call takes without other delays; it matters only where a server's speed differs.
+const CALL_TIME: Duration = Duration::from_millis(30);
+/// Time in which an engine generates the answer to a prompt, likewise.
+const GENERATION_TIME: Duration = Duration::from_millis(400);
+/// Delay added to a plain call to another data centre: the round trip.
+const REMOTE_CALL_DELAY: Duration = Duration::from_millis(4);
+/// Delay added to a prompt for another data centre: the round trip, and the traffic between data
+/// centres, which costs users more than a step or two of an engine. Half the time to prefill a
+/// thousand tokens, so that a cached history still outweighs the distance.
+const REMOTE_PROMPT_DELAY: Duration = Duration::from_millis(16);
+/// Delay by which a backend server must be better than its predecessor in a program's order, so
+/// that the program's turns find each other's prefixes.
+const RANK_DELAY: Duration = Duration::from_millis(10);
+/// Age from which a load reported with a response is ignored.
+const MAX_LOAD_AGE: Duration = Duration::from_secs(1);
+/// Age from which a reported slowdown is ignored: it changes many times a second.
+const MAX_SLOWDOWN_AGE: Duration = Duration::from_millis(300);
+/// How long a slowdown lasts on average after it was reported; neighbours slow a server down for
+/// fractions of a second.
+const SLOWDOWN_TIME: Duration = Duration::from_millis(200);
+
+/// What matters for a request's delay at a backend server besides the server's own state.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Conditions {
+    /// Tokens at the start of the prompt that the engines which keep them have cached.
+    pub(super) shared_tokens: id::Tokens,
+    /// Whether it keeps those tokens cached.
+    pub(super) is_home: bool,
+    /// Requests of other entries in flight there, if known.
+    pub(super) elsewhere: Option<u32>,
+    /// Its place in the program's order; 0 is the first.
+    pub(super) rank: u32,
+    /// Whether it is in the entry's data centre.
+    pub(super) is_local: bool,
+}
+
+/// The components of the expected delay of a request at a backend server, beyond that of an idle local
+/// one of usual speed with the prompt cached.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Score {
+    /// Reading the part of the prompt that is not cached.
+    pub reading: Duration,
+    /// Requests that run beside it.
+    pub running: Duration,
+    /// Requests that wait before it.
+    pub waiting: Duration,
+    /// The way to another data centre.
+    pub network: Duration,
+    /// The place in the program's order.
+    pub rank: Duration,
+    /// The slowdown that the backend server reported.
+    pub slowdown: Duration,
+    /// What it saves by running faster than usual for the moment.
+    pub speedup: Duration,
+}
+
+impl Score {
+    /// Returns the sum, which is negative for a backend server that is faster than usual.
+    pub(super) fn total_micros(&self) -> i64 {
+        let delay = self.reading + self.running + self.waiting + self.network + self.rank;
+        micros(delay + self.slowdown) - micros(self.speedup)
+    }
+}
+
+fn micros(delay: Duration) -> i64 {
+    i64::try_from(delay.as_micros()).unwrap_or(i64::MAX)
+}
+
+impl Server {
+    /// Estimates how many tokens at the start of a prompt it has cached. An engine that does not keep
+    /// a shared part evicts it soon, except before the history of a program that it serves.
+    pub(super) fn cached_tokens(&self, prompt: &[Part], conditions: Conditions) -> id::Tokens {
+        if conditions.is_home {
+            let cached = self.prefix_cache.cached_tokens(prompt);
+            cached.max(conditions.shared_tokens)
+        } else if self.holds_history(prompt) {
+            self.prefix_cache.cached_tokens(prompt)
+        } else {
+            0
+        }
+    }
+
+    /// Estimates the running and the waiting requests from those of all entries. If those of other
+    /// entries are not known, it uses the last reported load and the requests sent since.
+    fn estimated_load(&self, now: Timestamp, elsewhere: Option<u32>) -> (u32, u32) {
+        let slots = self.registration.slots;
+        if let Some(elsewhere) = elsewhere {
+            let total = self.in_flight + elsewhere;
+            return (total.min(slots), total.saturating_sub(slots));
+        }
+        let recent = self
+            .load
+            .filter(|(_, reported_at)| now.saturating_sub(*reported_at) < MAX_LOAD_AGE);
+        let (running, waiting) = recent.map_or((0, 0), |(load, _)| {
+            let running = load.running.saturating_add(self.sent_since_load);
+            (running, load.waiting)
+        });
+        let running = self.in_flight.max(running);
+        let excess = running.saturating_sub(slots);
+        (running.min(slots), waiting.saturating_add(excess))
+    }
+
+    /// Returns the last reported slowdown as a factor of the usual time, and the weight that its age
+    /// leaves it.
+    fn slowdown(&self, now: Timestamp) -> Option<(f64, f64)> {
+        let (load, reported_at) = self.load?;
+        let percent = load.slowdown?;
+        let percent = percent.clamp(Load::MIN_SLOWDOWN, Load::MAX_SLOWDOWN);
+        let factor = f64::from(percent) / 100.0;
+        let age = now.saturating_sub(reported_at);
+        let weight = 1.0 - age.as_secs_f64() / MAX_SLOWDOWN_AGE.as_secs_f64();
+        (weight > 0.0).then_some((factor, weight))
+    }
+
+    /// Returns the expected delay of a request.
+    pub(super) fn score(
+        &self,
+        now: Timestamp,
+        request: &Request<'_>,
+        conditions: Conditions,
+    ) -> Score {
+        let (running, waiting) = self.estimated_load(now, conditions.elsewhere);
+        let is_plain = request.prompt.is_empty();
+        let prompt: id::Tokens = request.prompt.iter().map(|part| part.tokens).sum();
+        let cached = self.cached_tokens(request.prompt, conditions);
+        let uncached = u32::try_from(prompt.saturating_sub(cached)).unwrap_or(u32::MAX);
+        let reading = PREFILL_PER_TOKEN * uncached;
+        let running = if is_plain {
+            // A plain service runs requests independently, so only a full one is slow.
+            DELAY_PER_RUNNING * running * 2 / self.registration.slots.max(1)
+        } else {
+            DELAY_PER_RUNNING * running
+        };
+        let waiting = DELAY_PER_WAITING * waiting;
+        let network = match (conditions.is_local, is_plain) {
+            (true, _) => Duration::ZERO,
+            (false, true) => REMOTE_CALL_DELAY,
+            (false, false) => REMOTE_PROMPT_DELAY,
+        };
+        let rank = if is_plain {
+            Duration::ZERO
+        } else {
+            RANK_DELAY * conditions.rank
+        };
+        let own_time = if is_plain { CALL_TIME } else { GENERATION_TIME };
+        let work = own_time + reading + running + waiting;
+        let (slowdown, speedup) = self
+            .slowdown(now)
+            .map_or_else(Default::default, |(factor, weight)| {
+                slowdown_delay(work, factor, weight)
+            });
+        Score {
+            reading,
+            running,
+            waiting,
+            network,
+            rank,
+            slowdown,
+            speedup,
+        }
+    }
+}
+
+/// Returns how much longer and how much shorter work takes that a server would do in `work` at its
+/// usual speed, if it now needs `factor` times as long. A moment later it runs as usual.
+fn slowdown_delay(work: Duration, factor: f64, weight: f64) -> (Duration, Duration) {
+    // What the server gets done while the slowdown lasts.
+    let affected = work.min(SLOWDOWN_TIME.div_f64(factor)).mul_f64(weight);
+    let longer = affected.mul_f64((factor - 1.0).max(0.0));
+    let shorter = affected.mul_f64((1.0 - factor).max(0.0));
+    (longer, shorter)
+}
--- a/crates/celerycove-route/tests/direct.rs
+++ b/crates/celerycove-route/tests/direct.rs
@@ -106,6 +106,7 @@
     let load = Load {
         running: 6,
         waiting: 3,
+        slowdown: None,
     };
     servers.record_load(NOW, "llm", "e1", load);
     for n in 0..20_u64 {
@@ -360,6 +361,7 @@
     let load = Load {
         running: u32::MAX,
         waiting: u32::MAX,
+        slowdown: None,
     };
     servers.record_load(NOW, "llm", "full", load);
     for _ in 0..3 {
