feat(route): learn the speeds of servers from their answers

Cause: servers run at 0.6 to 1.6 times the usual speed, but every one of a service was taken for equal, with constant delays measured on other deployments. Change: for each service, the times to read and to generate a token, to wait and to answer a call, and for each server a factor relative to its service, in direct/speed.rs. A stream counts by the time between its events for a similar number of running requests, a call by its whole time if it found a free slot; streams that the caller held up or that were resumed don't count. The estimates are quantiles in the logarithm with bounded steps. A factor has an effect only beyond what the spread of the samples explains; a changed incarnation starts anew, and a factor fades within 30 s without samples. Without samples the delays are as before. Entries call Servers::record_run when a stream ended in full or a call succeeded.

--- a/crates/celerycove-gateway/src/entry/exchange.rs
+++ b/crates/celerycove-gateway/src/entry/exchange.rs
@@ -8,7 +8,7 @@
     config::{Route, ServiceName},
 };
 use celerycove_quarantine::digest::{Digests, Subject};
-use celerycove_route::direct::{Outcome, Request as RouteRequest, Selection};
+use celerycove_route::direct::{Outcome, Request as RouteRequest, Run, Selection};
 use celerycove_types::{Timestamp, id};
 use http_body_util::Full;
 use hyper::{
@@ -474,6 +474,17 @@
         } else {
             self.record_attempt(&choice, Outcome::Answered, "answered", &head.status);
             self.record_whole_answer(&head);
+            if self.call.prompt.is_empty() && head.status.is_success() {
+                let total = clock::now().saturating_sub(sent_at);
+                let run = Run {
+                    first_byte: total,
+                    total,
+                    prompt_read: 0,
+                    generated: 0,
+                    running: metadata.load.map_or(0, |load| load.running),
+                };
+                self.record_run(&choice, &run);
+            }
         }
         Ok(BufferedResponse {
             head,
@@ -481,6 +492,18 @@
         })
     }
 
+    /// Returns how many tokens of the prompt the selected backend server probably had to read.
+    pub(super) fn uncached_tokens(&self, choice: &Selection) -> id::Tokens {
+        let prompt: id::Tokens = self.call.prompt.iter().map(|part| part.tokens).sum();
+        prompt.saturating_sub(choice.cached_tokens)
+    }
+
+    /// Reports how long an answered request took to the backend selection.
+    pub(super) fn record_run(&self, choice: &Selection, run: &Run) {
+        let mut servers = lock(&self.entry.servers);
+        servers.record_run(clock::now(), &self.service, &choice.backend, run);
+    }
+
     /// Reports the attempt's outcome to the backend selection, and logs and counts it.
     pub(super) fn record_attempt(
         &self,
--- a/crates/celerycove-gateway/src/entry/relay.rs
+++ b/crates/celerycove-gateway/src/entry/relay.rs
@@ -4,7 +4,7 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
-use celerycove_route::direct::Outcome;
+use celerycove_route::direct::{Outcome, Run};
 use celerycove_turn::{End, Keep};
 use celerycove_types::{Timestamp, id};
 use http_body_util::BodyExt;
@@ -95,6 +95,43 @@
     pub(super) first_byte_at: Option<Timestamp>,
 }
 
+/// Gap from which a caller that reads slowly holds up the stream, so that its times say little about
+/// the engine.
+const MAX_HOLD_UP: Duration = Duration::from_millis(5);
+
+/// When the events of one backend server's stream arrived.
+struct Pace {
+    sent_at: Timestamp,
+    first_and_last: Option<(Timestamp, Timestamp)>,
+    /// Whether the times say little about the engine: it resumed the stream of another one, or the
+    /// caller held up the stream.
+    is_unsuited: bool,
+}
+
+impl Pace {
+    fn new(sent_at: Timestamp, is_resumed: bool) -> Self {
+        Self {
+            sent_at,
+            first_and_last: None,
+            is_unsuited: is_resumed,
+        }
+    }
+
+    fn record_events(&mut self, received_at: Timestamp, forwarded_at: Timestamp) {
+        let (first, _) = self.first_and_last.unwrap_or((received_at, received_at));
+        self.first_and_last = Some((first, received_at));
+        self.is_unsuited |= forwarded_at.saturating_sub(received_at) >= MAX_HOLD_UP;
+    }
+
+    /// Returns the times from sending the request to the first and to the last event, if they are
+    /// suited.
+    fn times(&self) -> Option<(Duration, Duration)> {
+        let (first, last) = self.first_and_last.filter(|_| !self.is_unsuited)?;
+        let since_sent = |at: Timestamp| at.saturating_sub(self.sent_at);
+        Some((since_sent(first), since_sent(last)))
+    }
+}
+
 /// How reading one backend server's stream ended. The variant names appear in the log and in
 /// errors.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -171,6 +208,7 @@
         let guard = InFlightGuard::new(&self.dispatch, &choice);
         let mut splitter = Splitter::new(self.dispatch.entry.connections.account());
         let mut last_event_at = clock::now();
+        let mut pace = Pace::new(sent_at, self.event_count > 0);
         let stop = loop {
             // Checked also while data arrives: it may never end, and need not consist of events.
             if let Some(stop) = self.overdue(last_event_at) {
@@ -196,11 +234,13 @@
                         continue;
                     };
                     let event_count = self.event_count;
+                    let received_at = clock::now();
                     if let Err(stop) = self.forward_events(&mut splitter, data, sender).await {
                         break stop;
                     }
                     if self.event_count > event_count {
                         last_event_at = clock::now();
+                        pace.record_events(received_at, last_event_at);
                     }
                 }
             }
@@ -225,7 +265,19 @@
         self.dispatch
             .record_attempt(&choice, outcome, label, &self.event_count);
         match stop {
-            Stop::Whole => self.dispatch.record_whole_answer(&head),
+            Stop::Whole => {
+                self.dispatch.record_whole_answer(&head);
+                if let Some((first_byte, total)) = pace.times() {
+                    let run = Run {
+                        first_byte,
+                        total,
+                        prompt_read: self.dispatch.uncached_tokens(&choice),
+                        generated: self.event_count * self.event_tokens,
+                        running: metadata.load.map_or(0, |load| load.running),
+                    };
+                    self.dispatch.record_run(&choice, &run);
+                }
+            }
             Stop::Broken(CONNECTION_LOST | CUT_EVENT) => {
                 self.dispatch.record_break(&choice, sent_at);
             }
--- a/crates/celerycove-route/src/direct.rs
+++ b/crates/celerycove-route/src/direct.rs
@@ -12,18 +12,23 @@
 mod report;
 mod score;
 mod shared;
+mod speed;
 
 use std::{sync::Arc, time::Duration};
 
 use celerycove_types::{Map, Timestamp, id};
 
-pub use self::report::{Report, Tally};
 use self::{
     demand::{Counts, Demand},
     departure::Departures,
     order::{Choices, choices, name_hash},
     score::Conditions,
     shared::SharedParts,
+    speed::{Pace, Speeds},
+};
+pub use self::{
+    report::{Report, Tally},
+    speed::Run,
 };
 use crate::prefix::{Cache, Part};
 
@@ -123,6 +128,7 @@
     /// When `cold_allowance` was last refilled.
     cold_refilled_at: Timestamp,
     prefix_cache: Cache,
+    pace: Pace,
     /// Outcomes since they were last sent to the other entries.
     tally: Tally,
     /// Whether it has said that it leaves, so that it gets no requests any more.
@@ -171,6 +177,8 @@
     demand: Demand,
     /// The shared parts of each service's prompts.
     shared_parts: Map<Arc<str>, SharedParts>,
+    /// What the answers of each service have shown.
+    speeds: Map<Arc<str>, Speeds>,
     /// The backend servers that have said that they leave.
     departures: Departures,
 }
@@ -209,6 +217,7 @@
         servers.sort_by(|a, b| a.registration.backend.cmp(&b.registration.backend));
         let shared_parts = self.shared_parts.entry(service.clone()).or_default();
         shared_parts.reset_homes();
+        self.speeds.entry(service.clone()).or_default();
     }
 
     /// Records a heartbeat of a registered incarnation that changed nothing else.
@@ -253,6 +262,7 @@
     pub fn retain(&mut self, keep: impl Fn(&str) -> bool) {
         self.services.retain(|service, _| keep(service));
         self.shared_parts.retain(|service, _| keep(service));
+        self.speeds.retain(|service, _| keep(service));
     }
 
     /// Selects a backend server and counts the request as sent to it, also against its cold-start
@@ -270,6 +280,8 @@
             candidates,
             considered,
         } = choices(now, servers, request, &self.data_centre, shared);
+        let slots = servers.first()?.registration.slots;
+        let costs = self.speeds.get(service)?.costs(slots);
         let scores = considered.into_iter().map(|(index, rank)| {
             let server = &servers[index];
             let Registration {
@@ -284,13 +296,14 @@
                 rank,
                 is_local: *data_centre == self.data_centre,
             };
-            let score = server.score(now, request, conditions);
-            (server.is_suspect(now), score.total_micros(), rank, index)
+            let score = server.score(now, request, conditions, &costs);
+            let cached = server.cached_tokens(request.prompt, conditions);
+            let key = (server.is_suspect(now), score.total_micros(), rank, index);
+            (key, cached)
         });
-        let (_, expected_micros, _, index) = scores.min()?;
+        let ((_, expected_micros, _, index), cached) = scores.min()?;
         let server = &mut servers[index];
         server.record_dispatch(now);
-        let cached = server.prefix_cache.cached_tokens(request.prompt);
         let capacity = server
             .registration
             .cache_tokens
@@ -336,6 +349,21 @@
         }
     }
 
+    /// Records how long a request took that was answered in full.
+    pub fn record_run(&mut self, now: Timestamp, service: &str, backend: &str, run: &Run) {
+        let Some(servers) = self.services.get_mut(service) else {
+            return;
+        };
+        let Some(server) = find(servers, backend) else {
+            return;
+        };
+        let slowdown = server.slowdown_within(now, run.total).unwrap_or(1.0);
+        let slots = server.registration.slots;
+        if let Some(speeds) = self.speeds.get_mut(service) {
+            speeds.record(now, &mut server.pace, run, slots, slowdown);
+        }
+    }
+
     /// Returns the requests in flight of this entry, to be reported to its data centre.
     pub fn take_demand(&mut self) -> Counts {
         let servers = self.services.values().flatten();
@@ -393,13 +421,16 @@
     }
 
     fn find(&mut self, service: &str, backend: &str) -> Option<&mut Server> {
-        let servers = self.services.get_mut(service)?;
-        let found =
-            servers.binary_search_by(|server| server.registration.backend.as_ref().cmp(backend));
-        found.ok().and_then(|index| servers.get_mut(index))
+        find(self.services.get_mut(service)?, backend)
     }
 }
 
+fn find<'a>(servers: &'a mut [Server], backend: &str) -> Option<&'a mut Server> {
+    let found =
+        servers.binary_search_by(|server| server.registration.backend.as_ref().cmp(backend));
+    found.ok().and_then(|index| servers.get_mut(index))
+}
+
 impl Server {
     fn new(now: Timestamp, registration: Registration) -> Self {
         Self {
@@ -415,6 +446,7 @@
             cold_allowance: 1.0,
             cold_refilled_at: now,
             prefix_cache: Cache::default(),
+            pace: Pace::default(),
             tally: Tally::default(),
             is_leaving: false,
             is_departure_told: false,
--- a/crates/celerycove-route/src/direct/score.rs
+++ b/crates/celerycove-route/src/direct/score.rs
@@ -4,20 +4,9 @@
 
 use celerycove_types::{Timestamp, id};
 
-use super::{Load, Request, Server};
+use super::{Load, Request, Server, speed::Costs};
 use crate::prefix::Part;
 
-/// Time to prefill one uncached token on an idle engine of the deployments in `etc/`.
-const PREFILL_PER_TOKEN: Duration = Duration::from_micros(33);
-/// Delay that each running request adds to the others, by slower steps and interleaved prefill
-/// chunks.
-const DELAY_PER_RUNNING: Duration = Duration::from_millis(3);
-/// Delay that each waiting request adds to those behind it: about the time until a slot is free.
-const DELAY_PER_WAITING: Duration = Duration::from_millis(60);
-/// Time that a plain call takes without other delays; it matters only where a server's speed differs.
-const CALL_TIME: Duration = Duration::from_millis(30);
-/// Time in which an engine generates the answer to a prompt, likewise.
-const GENERATION_TIME: Duration = Duration::from_millis(400);
 /// Delay added to a plain call to another data centre: the round trip.
 const REMOTE_CALL_DELAY: Duration = Duration::from_millis(4);
 /// Delay added to a prompt for another data centre: the round trip, and the traffic between data
@@ -64,17 +53,17 @@
     pub network: Duration,
     /// The place in the program's order.
     pub rank: Duration,
-    /// The slowdown that the backend server reported.
-    pub slowdown: Duration,
-    /// What it saves by running faster than usual for the moment.
-    pub speedup: Duration,
+    /// What it takes longer than a server of usual speed, in microseconds; negative if it is faster.
+    pub speed_micros: i64,
+    /// What it takes longer because of the slowdown that it reported, in microseconds.
+    pub slowdown_micros: i64,
 }
 
 impl Score {
     /// Returns the sum, which is negative for a backend server that is faster than usual.
     pub(super) fn total_micros(&self) -> i64 {
         let delay = self.reading + self.running + self.waiting + self.network + self.rank;
-        micros(delay + self.slowdown) - micros(self.speedup)
+        micros(delay) + self.speed_micros + self.slowdown_micros
     }
 }
 
@@ -116,13 +105,19 @@
         (running.min(slots), waiting.saturating_add(excess))
     }
 
-    /// Returns the last reported slowdown as a factor of the usual time, and the weight that its age
-    /// leaves it.
-    fn slowdown(&self, now: Timestamp) -> Option<(f64, f64)> {
+    /// Returns the slowdown that it reported within `period` as a factor of the usual time.
+    pub(super) fn slowdown_within(&self, now: Timestamp, period: Duration) -> Option<f64> {
         let (load, reported_at) = self.load?;
         let percent = load.slowdown?;
         let percent = percent.clamp(Load::MIN_SLOWDOWN, Load::MAX_SLOWDOWN);
-        let factor = f64::from(percent) / 100.0;
+        (now.saturating_sub(reported_at) <= period).then(|| f64::from(percent) / 100.0)
+    }
+
+    /// Returns the last reported slowdown as a factor of the usual time, and the weight that its age
+    /// leaves it.
+    fn slowdown(&self, now: Timestamp) -> Option<(f64, f64)> {
+        let factor = self.slowdown_within(now, MAX_SLOWDOWN_AGE)?;
+        let (_, reported_at) = self.load?;
         let age = now.saturating_sub(reported_at);
         let weight = 1.0 - age.as_secs_f64() / MAX_SLOWDOWN_AGE.as_secs_f64();
         (weight > 0.0).then_some((factor, weight))
@@ -134,20 +129,23 @@
         now: Timestamp,
         request: &Request<'_>,
         conditions: Conditions,
+        costs: &Costs,
     ) -> Score {
         let (running, waiting) = self.estimated_load(now, conditions.elsewhere);
         let is_plain = request.prompt.is_empty();
         let prompt: id::Tokens = request.prompt.iter().map(|part| part.tokens).sum();
         let cached = self.cached_tokens(request.prompt, conditions);
         let uncached = u32::try_from(prompt.saturating_sub(cached)).unwrap_or(u32::MAX);
-        let reading = PREFILL_PER_TOKEN * uncached;
+        let slots = self.registration.slots.max(1);
+        let occupied = f64::from(running) / f64::from(slots);
+        let reading = costs.per_token * uncached;
         let running = if is_plain {
             // A plain service runs requests independently, so only a full one is slow.
-            DELAY_PER_RUNNING * running * 2 / self.registration.slots.max(1)
+            costs.per_running * running * 2 / slots
         } else {
-            DELAY_PER_RUNNING * running
+            costs.per_running * running
         };
-        let waiting = DELAY_PER_WAITING * waiting;
+        let waiting = costs.per_waiting * waiting;
         let network = match (conditions.is_local, is_plain) {
             (true, _) => Duration::ZERO,
             (false, true) => REMOTE_CALL_DELAY,
@@ -158,31 +156,39 @@
         } else {
             RANK_DELAY * conditions.rank
         };
-        let own_time = if is_plain { CALL_TIME } else { GENERATION_TIME };
+        let own_time = if is_plain {
+            costs.call
+        } else {
+            costs.generation
+        };
         let work = own_time + reading + running + waiting;
-        let (slowdown, speedup) = self
-            .slowdown(now)
-            .map_or_else(Default::default, |(factor, weight)| {
-                slowdown_delay(work, factor, weight)
-            });
+        let factor = self.pace.factor(now);
+        // A fast server is preferred the less, the more of its slots are taken. Other entries prefer it
+        // too, and their latest requests are not known yet.
+        let advantage = own_time.mul_f64((1.0 - factor).max(0.0) * (1.0 - occupied).max(0.0));
+        let drawback = own_time.mul_f64((factor - 1.0).max(0.0));
+        let others = reading + running + waiting;
+        let speed_micros =
+            micros(drawback) - micros(advantage) + micros(others.mul_f64(factor)) - micros(others);
+        let slowdown_micros = self.slowdown(now).map_or(0, |(slowdown, weight)| {
+            slowdown_micros(work.mul_f64(factor), slowdown, weight)
+        });
         Score {
             reading,
             running,
             waiting,
             network,
             rank,
-            slowdown,
-            speedup,
+            speed_micros,
+            slowdown_micros,
         }
     }
 }
 
-/// Returns how much longer and how much shorter work takes that a server would do in `work` at its
-/// usual speed, if it now needs `factor` times as long. A moment later it runs as usual.
-fn slowdown_delay(work: Duration, factor: f64, weight: f64) -> (Duration, Duration) {
+/// Returns how much longer work takes that a server would do in `work` at its usual speed, if it now
+/// needs `factor` times as long. A moment later it runs as usual.
+fn slowdown_micros(work: Duration, factor: f64, weight: f64) -> i64 {
     // What the server gets done while the slowdown lasts.
     let affected = work.min(SLOWDOWN_TIME.div_f64(factor)).mul_f64(weight);
-    let longer = affected.mul_f64((factor - 1.0).max(0.0));
-    let shorter = affected.mul_f64((1.0 - factor).max(0.0));
-    (longer, shorter)
+    micros(affected.mul_f64(factor)) - micros(affected)
 }
