feat(route): count the tokens that requests take of an engine's memory

Cause: engines whose memory is full before their slots preempt running requests; selection counted slots only. Change: the memory that requests in flight take is estimated from their prompts and expected answers, the entry's own with shared first parts counted once, those of others at the mean (direct/room.rs). Selection has is_full and expected_wait, which are logged with each choice. Servers::forecast returns the candidates with the components of their scores, and the others with the reason, and counts nothing (direct/forecast.rs). The allowance of a cold start is computed when needed, so that a forecast needs no state.

--- a/crates/celerycove-gateway/src/entry/exchange.rs
+++ b/crates/celerycove-gateway/src/entry/exchange.rs
@@ -537,6 +537,7 @@
             service:% = self.service, version = self.index.config().version,
             candidates = choice.candidates, cached = choice.cached_tokens,
             expected_ms = clock::millis(choice.expected_delay),
+            full = choice.is_full, wait_ms = clock::millis(choice.expected_wait),
             heard_ms = clock::millis(choice.heartbeat_age),
             left_ms = clock::millis(self.deadline.saturating_sub(clock::now())); "chosen");
     }
--- a/crates/celerycove-route/src/direct.rs
+++ b/crates/celerycove-route/src/direct.rs
@@ -8,8 +8,10 @@
 
 pub mod demand;
 mod departure;
+mod forecast;
 mod order;
 mod report;
+mod room;
 mod score;
 mod shared;
 mod speed;
@@ -21,13 +23,16 @@
 use self::{
     demand::{Counts, Demand},
     departure::Departures,
-    order::{Choices, choices, name_hash},
-    score::Conditions,
+    forecast::Context,
+    order::name_hash,
+    room::Reserved,
     shared::SharedParts,
     speed::{Pace, Speeds},
 };
 pub use self::{
+    forecast::{Assessment, Candidate, Exclusion},
     report::{Report, Tally},
+    score::Score,
     speed::Run,
 };
 use crate::prefix::{Cache, Part};
@@ -123,11 +128,13 @@
     ejected_until: Timestamp,
     /// When the last response arrived.
     last_response_at: Timestamp,
-    /// Requests that may be sent now during the cold start, at most one.
+    /// Requests that could be sent at `cold_refilled_at` during the cold start, at most one.
     cold_allowance: f64,
-    /// When `cold_allowance` was last refilled.
+    /// When `cold_allowance` was last computed.
     cold_refilled_at: Timestamp,
     prefix_cache: Cache,
+    /// Memory of this entry's requests in flight.
+    reserved: Reserved,
     pace: Pace,
     /// Outcomes since they were last sent to the other entries.
     tally: Tally,
@@ -162,6 +169,10 @@
     /// Expected delay until the first token, beyond that of an idle local engine with the prompt
     /// cached.
     pub expected_delay: Duration,
+    /// Whether its slots or its memory are taken, as far as known.
+    pub is_full: bool,
+    /// Expected time until it begins to run the request.
+    pub expected_wait: Duration,
     /// Number of backend servers that were eligible.
     pub candidates: usize,
     /// Age of its last heartbeat.
@@ -276,34 +287,26 @@
         let servers = self.services.get_mut(service)?;
         let shared_parts = self.shared_parts.get_mut(service)?;
         let shared = shared_parts.observe(now, request.affinity, request.prompt, servers);
-        let Choices {
-            candidates,
-            considered,
-        } = choices(now, servers, request, &self.data_centre, shared);
         let slots = servers.first()?.registration.slots;
-        let costs = self.speeds.get(service)?.costs(slots);
-        let scores = considered.into_iter().map(|(index, rank)| {
-            let server = &servers[index];
-            let Registration {
-                backend,
-                data_centre,
-                ..
-            } = &server.registration;
-            let conditions = Conditions {
-                shared_tokens: shared.tokens,
-                is_home: shared.is_home(index),
-                elsewhere: self.demand.of_others(now, backend, data_centre),
-                rank,
-                is_local: *data_centre == self.data_centre,
-            };
-            let score = server.score(now, request, conditions, &costs);
-            let cached = server.cached_tokens(request.prompt, conditions);
-            let key = (server.is_suspect(now), score.total_micros(), rank, index);
-            (key, cached)
-        });
-        let ((_, expected_micros, _, index), cached) = scores.min()?;
+        let speeds = self.speeds.get_mut(service)?;
+        let answer = speeds.record_sent(request.prompt, shared.tokens);
+        let context = Context {
+            now,
+            request,
+            shared,
+            demand: &self.demand,
+            data_centre: &self.data_centre,
+            costs: speeds.costs(slots),
+        };
+        let (candidates, assessed) = context.assess(servers);
+        let best = assessed
+            .iter()
+            .min_by_key(|(index, rank, assessment)| assessment.key(*rank, *index));
+        let (index, _, assessment) = *best?;
+        let expected_micros = assessment.score.total_micros();
         let server = &mut servers[index];
         server.record_dispatch(now);
+        server.reserved.add(request.prompt, answer);
         let capacity = server
             .registration
             .cache_tokens
@@ -313,13 +316,36 @@
             backend: server.registration.backend.clone(),
             incarnation: server.registration.incarnation,
             address: server.registration.address,
-            cached_tokens: cached,
+            cached_tokens: assessment.cached_tokens,
             expected_delay: Duration::from_micros(expected_micros.try_into().unwrap_or(0)),
+            is_full: assessment.is_full,
+            expected_wait: assessment.expected_wait,
             candidates,
             heartbeat_age: now.saturating_sub(server.registration.last_heartbeat),
         })
     }
 
+    /// Returns the backend servers of a service as a request would find them now, in the order in which
+    /// it would go to them, and then those to which it would not. Counts nothing.
+    #[must_use]
+    pub fn forecast(&self, now: Timestamp, service: &str, request: &Request<'_>) -> Vec<Candidate> {
+        let known = self.services.get(service).zip(self.speeds.get(service));
+        let Some(((servers, speeds), parts)) = known.zip(self.shared_parts.get(service)) else {
+            return Vec::new();
+        };
+        let homes = parts.peek(request.prompt, servers);
+        let slots = servers.first().map_or(1, |first| first.registration.slots);
+        let context = Context {
+            now,
+            request,
+            shared: homes.shared(),
+            demand: &self.demand,
+            data_centre: &self.data_centre,
+            costs: speeds.costs(slots),
+        };
+        context.forecast(servers)
+    }
+
     /// Records the outcome of a request to a selected backend server.
     pub fn record_outcome(
         &mut self,
@@ -331,6 +357,7 @@
     ) {
         if let Some(server) = self.find(service, backend) {
             server.in_flight = server.in_flight.saturating_sub(1);
+            server.reserved.remove();
             server.sent_since_load = server.sent_since_load.saturating_sub(1);
             server.record_outcome(now, outcome);
             if let Some(load) = load {
@@ -446,6 +473,7 @@
             cold_allowance: 1.0,
             cold_refilled_at: now,
             prefix_cache: Cache::default(),
+            reserved: Reserved::default(),
             pace: Pace::default(),
             tally: Tally::default(),
             is_leaving: false,
@@ -453,19 +481,10 @@
         }
     }
 
-    /// Returns whether it goes on serving, and its cold-start limit admits another request.
-    fn accepts_request(&mut self, now: Timestamp) -> bool {
-        if self.is_leaving {
-            return false;
-        }
-        if now >= self.registration.cold_until {
-            return true;
-        }
+    /// Returns how many requests its cold-start limit admits now.
+    fn cold_allowance(&self, now: Timestamp) -> f64 {
         let elapsed = now.saturating_sub(self.cold_refilled_at).as_secs_f64();
-        self.cold_refilled_at = now;
-        self.cold_allowance =
-            (self.cold_allowance + elapsed * self.registration.cold_rate).min(1.0);
-        self.cold_allowance >= 1.0
+        (self.cold_allowance + elapsed * self.registration.cold_rate).min(1.0)
     }
 
     /// Returns whether it is ejected or has been silent for too long.
@@ -476,7 +495,8 @@
 
     fn record_dispatch(&mut self, now: Timestamp) {
         if now < self.registration.cold_until {
-            self.cold_allowance -= 1.0;
+            self.cold_allowance = self.cold_allowance(now) - 1.0;
+            self.cold_refilled_at = now;
         }
         self.in_flight += 1;
         self.sent_since_load += 1;
--- a/crates/celerycove-route/src/direct/order.rs
+++ b/crates/celerycove-route/src/direct/order.rs
@@ -34,7 +34,7 @@
 /// program's history to. Those that keep the prompt's shared part come before all others.
 pub(super) fn choices(
     now: Timestamp,
-    servers: &mut [Server],
+    servers: &[Server],
     request: &Request<'_>,
     data_centre: &id::DataCentre,
     shared: Shared<'_>,
@@ -50,8 +50,8 @@
     // that don't.
     let mut first: [Vec<(Place, usize)>; 4] = Default::default();
     let mut with_history = Vec::new();
-    for (index, server) in servers.iter_mut().enumerate() {
-        if request.excluded.contains(&server.registration.backend) || !server.accepts_request(now) {
+    for (index, server) in servers.iter().enumerate() {
+        if server.refusal(now, request).is_some() {
             continue;
         }
         candidates += 1;
--- a/crates/celerycove-route/src/direct/score.rs
+++ b/crates/celerycove-route/src/direct/score.rs
@@ -4,7 +4,7 @@
 
 use celerycove_types::{Timestamp, id};
 
-use super::{Load, Request, Server, speed::Costs};
+use super::{Assessment, Load, Request, Server, room, speed::Costs};
 use crate::prefix::Part;
 
 /// Delay added to a plain call to another data centre: the round trip.
@@ -49,6 +49,8 @@
     pub running: Duration,
     /// Requests that wait before it.
     pub waiting: Duration,
+    /// Memory that is nearly or entirely taken.
+    pub memory: Duration,
     /// The way to another data centre.
     pub network: Duration,
     /// The place in the program's order.
@@ -62,7 +64,16 @@
 impl Score {
     /// Returns the sum, which is negative for a backend server that is faster than usual.
     pub(super) fn total_micros(&self) -> i64 {
-        let delay = self.reading + self.running + self.waiting + self.network + self.rank;
+        let delay: Duration = [
+            self.reading,
+            self.running,
+            self.waiting,
+            self.memory,
+            self.network,
+            self.rank,
+        ]
+        .iter()
+        .sum();
         micros(delay) + self.speed_micros + self.slowdown_micros
     }
 }
@@ -123,20 +134,26 @@
         (weight > 0.0).then_some((factor, weight))
     }
 
-    /// Returns the expected delay of a request.
-    pub(super) fn score(
+    /// Returns what a request is expected to meet.
+    pub(super) fn assess(
         &self,
         now: Timestamp,
         request: &Request<'_>,
         conditions: Conditions,
         costs: &Costs,
-    ) -> Score {
+    ) -> Assessment {
         let (running, waiting) = self.estimated_load(now, conditions.elsewhere);
         let is_plain = request.prompt.is_empty();
         let prompt: id::Tokens = request.prompt.iter().map(|part| part.tokens).sum();
         let cached = self.cached_tokens(request.prompt, conditions);
         let uncached = u32::try_from(prompt.saturating_sub(cached)).unwrap_or(u32::MAX);
         let slots = self.registration.slots.max(1);
+        let others = (running + waiting.min(slots)).saturating_sub(self.in_flight);
+        let taken = self.registration.cache_tokens.map_or(0.0, |memory| {
+            self.reserved.share(others, costs.tokens, memory)
+        });
+        let has_slot = running < slots && waiting == 0;
+        let is_full = !has_slot || taken >= 1.0;
         let occupied = f64::from(running) / f64::from(slots);
         let reading = costs.per_token * uncached;
         let running = if is_plain {
@@ -161,6 +178,7 @@
         } else {
             costs.generation
         };
+        let memory = own_time.mul_f64(room::delay(taken));
         let work = own_time + reading + running + waiting;
         let factor = self.pace.factor(now);
         // A fast server is preferred the less, the more of its slots are taken. Other entries prefer it
@@ -173,14 +191,27 @@
         let slowdown_micros = self.slowdown(now).map_or(0, |(slowdown, weight)| {
             slowdown_micros(work.mul_f64(factor), slowdown, weight)
         });
-        Score {
-            reading,
-            running,
-            waiting,
-            network,
-            rank,
-            speed_micros,
-            slowdown_micros,
+        let for_slot = if has_slot {
+            Duration::ZERO
+        } else {
+            waiting + costs.per_waiting
+        };
+        let for_memory = if taken >= 1.0 { memory } else { Duration::ZERO };
+        Assessment {
+            score: Score {
+                reading,
+                running,
+                waiting,
+                memory,
+                network,
+                rank,
+                speed_micros,
+                slowdown_micros,
+            },
+            is_suspect: self.is_suspect(now),
+            cached_tokens: cached,
+            is_full,
+            expected_wait: for_slot.max(for_memory).mul_f64(factor),
         }
     }
 }
--- a/crates/celerycove-route/src/direct/shared.rs
+++ b/crates/celerycove-route/src/direct/shared.rs
@@ -172,18 +172,23 @@
         self.repeated.count * 2 >= self.single.count
     }
 
-    /// Returns for each engine whether it keeps a shared part, or `None` if all of them do.
-    fn homes(&mut self, part: PartId, servers: &[Server]) -> Option<&[bool]> {
-        let memory = servers
-            .iter()
-            .map(|s| s.registration.cache_tokens)
-            .min()??;
+    /// Returns the share of the engines that keep each shared part.
+    fn share(&self, servers: &[Server]) -> f64 {
+        let memory = servers.iter().map(|s| s.registration.cache_tokens).min();
+        let Some(memory) = memory.flatten() else {
+            return 1.0;
+        };
         let mut shared = self.repeated;
         if self.are_most_shared() {
             shared.count += self.single.count;
             shared.tokens += self.single.tokens;
         }
-        let share = home_share(shared, memory);
+        home_share(shared, memory)
+    }
+
+    /// Returns for each engine whether it keeps a shared part, or `None` if all of them do.
+    fn homes(&mut self, part: PartId, servers: &[Server]) -> Option<&[bool]> {
+        let share = self.share(servers);
         if share >= 1.0 {
             return None;
         }
@@ -194,6 +199,39 @@
         let homes = self.homes.entry(part);
         Some(homes.or_insert_with(|| select_homes(part, servers, share)))
     }
+
+    /// Returns the shared part at the start of a prompt without recording it.
+    pub(super) fn peek(&self, prompt: &[Part], servers: &[Server]) -> Homes {
+        let Some(first) = prompt.first() else {
+            return Homes::default();
+        };
+        let sighting = self.sightings.get(&first.id);
+        let is_single = sighting.is_none_or(|sighting| sighting.owner.is_some());
+        let share = self.share(servers);
+        if is_single && (share >= 1.0 || !self.are_most_shared()) {
+            return Homes::default();
+        }
+        Homes {
+            tokens: first.tokens,
+            homes: (share < 1.0).then(|| select_homes(first.id, servers, share)),
+        }
+    }
+}
+
+/// A shared part at the start of a prompt, and the engines that keep it.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Homes {
+    tokens: id::Tokens,
+    homes: Option<Vec<bool>>,
+}
+
+impl Homes {
+    pub(super) fn shared(&self) -> Shared<'_> {
+        Shared {
+            tokens: self.tokens,
+            homes: self.homes.as_deref(),
+        }
+    }
 }
 
 /// Returns the share of the engines that keep a shared part, if `shared` are all of them and an engine
--- a/crates/celerycove-route/src/direct/speed.rs
+++ b/crates/celerycove-route/src/direct/speed.rs
@@ -10,6 +10,8 @@
 
 use celerycove_types::{Timestamp, id};
 
+use crate::prefix::Part;
+
 /// Samples from which an estimate of a service replaces its neutral value.
 const MIN_SAMPLES: u32 = 20;
 /// Tokens from which a stream's time per token is used.
@@ -65,6 +67,8 @@
     pub(super) call: Duration,
     /// Time in which an engine of usual speed generates an answer.
     pub(super) generation: Duration,
+    /// Mean number of tokens that a request takes of an engine's memory.
+    pub(super) tokens: f64,
 }
 
 /// The values of a service without samples, measured on the deployments in `etc/`; the times of a call
@@ -75,8 +79,14 @@
     per_waiting: Duration::from_millis(60),
     call: Duration::from_millis(30),
     generation: Duration::from_millis(400),
+    tokens: 0.0,
 };
 
+/// Tokens of an answer in a service without samples.
+const NEUTRAL_ANSWER: f64 = 100.0;
+/// Weight of a request in the mean of their tokens.
+const MEAN_STEP: f64 = 0.02;
+
 /// Estimate of a quantile of positive samples.
 #[derive(Debug, Clone, Copy, Default)]
 struct Quantile {
@@ -137,6 +147,8 @@
     total: Quantile,
     /// Deviation of the samples of a server's speed, in the logarithm.
     deviation: Quantile,
+    /// Mean number of tokens that the latest requests take of an engine's memory, if there were any.
+    tokens: Option<f64>,
 }
 
 /// How fast one backend server is.
@@ -217,6 +229,21 @@
         }
     }
 
+    /// Records a request that is sent, and returns how many tokens its answer probably has. A shared
+    /// part of the prompt takes no memory of its own.
+    pub(super) fn record_sent(&mut self, prompt: &[Part], shared: id::Tokens) -> id::Tokens {
+        if prompt.is_empty() {
+            return 0;
+        }
+        let prompt: id::Tokens = prompt.iter().map(|part| part.tokens).sum();
+        let answer = self.generated.value().unwrap_or(NEUTRAL_ANSWER);
+        let answer = Duration::try_from_secs_f64(answer).map_or(0, |tokens| tokens.as_secs());
+        let tokens = prompt.saturating_sub(shared) + answer;
+        let mean = self.tokens.get_or_insert(to_f64(tokens));
+        *mean += (to_f64(tokens) - *mean) * MEAN_STEP;
+        answer
+    }
+
     /// Returns the delays of the service.
     pub(super) fn costs(&self, slots: u32) -> Costs {
         let total = self.total.duration();
@@ -227,6 +254,7 @@
             per_waiting: bounded(per_waiting, NEUTRAL.per_waiting),
             call: total.unwrap_or(NEUTRAL.call),
             generation: self.generation.duration().unwrap_or(NEUTRAL.generation),
+            tokens: self.tokens.unwrap_or(NEUTRAL.tokens),
         }
     }
 
