--- a/crates/celerycove-gateway/src/entry/exchange.rs
+++ b/crates/celerycove-gateway/src/entry/exchange.rs
@@ -9,7 +9,7 @@
 };
 use celerycove_quarantine::digest::{Digests, Subject};
 use celerycove_rollout::{guide::Answer, order::Version};
-use celerycove_route::direct::{Outcome, Selection};
+use celerycove_route::direct::{Outcome, Run, Selection};
 use celerycove_types::{Timestamp, id};
 use http_body_util::Full;
 use hyper::{
@@ -499,6 +499,17 @@
             self.end_ticket(ticket, answer);
             self.record_attempt(&choice, Outcome::Answered, "answered", &head.status);
             self.record_whole_answer(&head);
+            if self.call.prompt.is_empty() && head.status.is_success() {
+                let total = clock::now().saturating_sub(sent_at);
+                let run = Run {
+                    first_byte: total,
+                    total,
+                    prompt_read: 0,
+                    generated: 0,
+                    running: metadata.load.map_or(0, |load| load.running),
+                };
+                self.record_run(&choice, &run);
+            }
         }
         Ok(BufferedResponse {
             head,
@@ -506,6 +517,18 @@
         })
     }
 
+    /// Returns how many tokens of the prompt the selected backend server probably had to read.
+    pub(super) fn uncached_tokens(&self, choice: &Selection) -> id::Tokens {
+        let prompt: id::Tokens = self.call.prompt.iter().map(|part| part.tokens).sum();
+        prompt.saturating_sub(choice.cached_tokens)
+    }
+
+    /// Reports how long an answered request took to the backend selection.
+    pub(super) fn record_run(&self, choice: &Selection, run: &Run) {
+        let mut servers = lock(&self.entry.servers);
+        servers.record_run(clock::now(), &self.service, &choice.backend, run);
+    }
+
     /// Reports the attempt's outcome to the backend selection, and logs and counts it.
     pub(super) fn record_attempt(
         &self,
@@ -539,6 +562,7 @@
             service:% = self.service, version = self.index.config().version,
             candidates = choice.candidates, cached = choice.cached_tokens,
             expected_ms = clock::millis(choice.expected_delay),
+            full = choice.is_full, wait_ms = clock::millis(choice.expected_wait),
             heard_ms = clock::millis(choice.heartbeat_age),
             left_ms = clock::millis(self.deadline.saturating_sub(clock::now())); "chosen");
     }
--- a/crates/celerycove-gateway/src/entry/relay.rs
+++ b/crates/celerycove-gateway/src/entry/relay.rs
@@ -5,7 +5,7 @@
 
 use bytes::{Bytes, BytesMut};
 use celerycove_rollout::guide::Answer;
-use celerycove_route::direct::Outcome;
+use celerycove_route::direct::{Outcome, Run};
 use celerycove_turn::{End, Keep};
 use celerycove_types::{Timestamp, id};
 use http_body_util::BodyExt;
@@ -16,6 +16,7 @@
     exchange::{Dispatch, Exchange, InFlightGuard},
     outbox,
     response::keeps_alive,
+    rollout::Ticket,
     turns::Client as TurnClient,
 };
 use crate::{
@@ -96,6 +97,43 @@
     pub(super) first_byte_at: Option<Timestamp>,
 }
 
+/// Gap from which a caller that reads slowly holds up the stream, so that its times say little about
+/// the engine.
+const MAX_HOLD_UP: Duration = Duration::from_millis(5);
+
+/// When the events of one backend server's stream arrived.
+struct Pace {
+    sent_at: Timestamp,
+    first_and_last: Option<(Timestamp, Timestamp)>,
+    /// Whether the times say little about the engine: it resumed the stream of another one, or the
+    /// caller held up the stream.
+    is_unsuited: bool,
+}
+
+impl Pace {
+    fn new(sent_at: Timestamp, is_resumed: bool) -> Self {
+        Self {
+            sent_at,
+            first_and_last: None,
+            is_unsuited: is_resumed,
+        }
+    }
+
+    fn record_events(&mut self, received_at: Timestamp, forwarded_at: Timestamp) {
+        let (first, _) = self.first_and_last.unwrap_or((received_at, received_at));
+        self.first_and_last = Some((first, received_at));
+        self.is_unsuited |= forwarded_at.saturating_sub(received_at) >= MAX_HOLD_UP;
+    }
+
+    /// Returns the times from sending the request to the first and to the last event, if they are
+    /// suited.
+    fn times(&self) -> Option<(Duration, Duration)> {
+        let (first, last) = self.first_and_last.filter(|_| !self.is_unsuited)?;
+        let since_sent = |at: Timestamp| at.saturating_sub(self.sent_at);
+        Some((since_sent(first), since_sent(last)))
+    }
+}
+
 /// How reading one backend server's stream ended. The variant names appear in the log and in
 /// errors.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -110,6 +148,18 @@
     TimedOut,
 }
 
+impl Stop {
+    /// Returns what the stream says about the version that it came from.
+    fn answer(self, has_data: bool, ticket: &mut Ticket) -> Answer {
+        match self {
+            Self::Whole | Self::TimedOut | Self::CallerLeft if has_data => ticket.good(),
+            Self::Whole | Self::TimedOut => ticket.good_without_data(),
+            Self::Broken(NO_ROOM) | Self::CallerLeft => Answer::Abandoned,
+            Self::Broken(_) => Answer::Failed,
+        }
+    }
+}
+
 impl Dispatch {
     /// Logs that long events of other streams take the memory, and returns how the stream ends.
     fn no_room_for_events(&self) -> Stop {
@@ -178,6 +228,7 @@
         let mut splitter = Splitter::new(self.dispatch.entry.connections.account());
         let mut last_event_at = clock::now();
         let mut has_data = false;
+        let mut pace = Pace::new(sent_at, self.event_count > 0);
         let stop = loop {
             // Checked also while data arrives: it may never end, and need not consist of events.
             if let Some(stop) = self.overdue(last_event_at) {
@@ -207,22 +258,19 @@
                         has_data = true;
                     }
                     let event_count = self.event_count;
+                    let received_at = clock::now();
                     if let Err(stop) = self.forward_events(&mut splitter, data, sender).await {
                         break stop;
                     }
                     if self.event_count > event_count {
                         last_event_at = clock::now();
+                        pace.record_events(received_at, last_event_at);
                     }
                 }
             }
         };
         guard.disarm();
-        let answer = match stop {
-            Stop::Whole | Stop::TimedOut | Stop::CallerLeft if has_data => ticket.good(),
-            Stop::Whole | Stop::TimedOut => ticket.good_without_data(),
-            Stop::Broken(NO_ROOM) | Stop::CallerLeft => Answer::Abandoned,
-            Stop::Broken(_) => Answer::Failed,
-        };
+        let answer = stop.answer(has_data, &mut ticket);
         self.dispatch.end_ticket(ticket, answer);
         let outcome = match stop {
             Stop::Whole => Outcome::Answered,
@@ -243,7 +291,19 @@
         self.dispatch
             .record_attempt(&choice, outcome, label, &self.event_count);
         match stop {
-            Stop::Whole => self.dispatch.record_whole_answer(&head),
+            Stop::Whole => {
+                self.dispatch.record_whole_answer(&head);
+                if let Some((first_byte, total)) = pace.times() {
+                    let run = Run {
+                        first_byte,
+                        total,
+                        prompt_read: self.dispatch.uncached_tokens(&choice),
+                        generated: self.event_count * self.event_tokens,
+                        running: metadata.load.map_or(0, |load| load.running),
+                    };
+                    self.dispatch.record_run(&choice, &run);
+                }
+            }
             Stop::Broken(CONNECTION_LOST | CUT_EVENT) => {
                 self.dispatch.record_break(&choice, sent_at);
             }
--- a/crates/celerycove-route/src/direct.rs
+++ b/crates/celerycove-route/src/direct.rs
@@ -8,9 +8,13 @@
 
 pub mod demand;
 mod departure;
+mod forecast;
 mod order;
 mod report;
+mod room;
+mod score;
 mod shared;
+mod speed;
 mod versions;
 
 use std::{sync::Arc, time::Duration};
@@ -20,30 +24,21 @@
 use self::{
     demand::{Counts, Demand},
     departure::Departures,
-    order::{Choices, choices, name_hash},
+    forecast::Context,
+    order::name_hash,
+    room::Reserved,
     shared::SharedParts,
+    speed::{Pace, Speeds},
 };
 pub use self::{
+    forecast::{Assessment, Candidate, Exclusion},
     report::{Report, Tally},
+    score::Score,
+    speed::Run,
     versions::Versions,
 };
 use crate::prefix::{Cache, Part};
 
-/// Time to prefill one uncached token on an idle engine of the deployments in `etc/`.
-const PREFILL_PER_TOKEN: Duration = Duration::from_micros(33);
-/// Delay that each running request adds to the others, by slower steps and interleaved prefill
-/// chunks.
-const DELAY_PER_RUNNING: Duration = Duration::from_millis(3);
-/// Delay that each waiting request adds to those behind it: about the time until a slot is free.
-const DELAY_PER_WAITING: Duration = Duration::from_millis(60);
-/// Delay added to a plain call to another data centre: the round trip.
-const REMOTE_CALL_DELAY: Duration = Duration::from_millis(4);
-/// Delay added to a prompt for another data centre: the round trip, and the traffic between data
-/// centres, which costs users more than a step or two of an engine. Half the time to prefill a
-/// thousand tokens, so that a cached history still outweighs the distance.
-const REMOTE_PROMPT_DELAY: Duration = Duration::from_millis(16);
-/// Age from which a load reported with a response is ignored.
-const MAX_LOAD_AGE: Duration = Duration::from_secs(1);
 /// How long a backend server is ejected after its first failure; doubles with each further failure.
 const BASE_EJECTION: Duration = Duration::from_millis(500);
 /// Maximum time that a backend server is ejected before it is tried again.
@@ -56,9 +51,6 @@
 const EJECTION_SCORE: f64 = 1.4;
 /// A backend server that has been silent for this long is used only if no other is left.
 const MAX_SILENCE: Duration = Duration::from_secs(5);
-/// Delay by which a backend server must be better than its predecessor in a program's order, so
-/// that the program's turns find each other's prefixes.
-const RANK_DELAY: Duration = Duration::from_millis(10);
 /// Size of an engine's prefix cache where its configuration does not set one.
 const DEFAULT_CACHE_TOKENS: id::Tokens = 100_000;
 
@@ -94,6 +86,15 @@
     pub running: u32,
     /// Number of requests waiting for a slot.
     pub waiting: u32,
+    /// How long a request takes at this moment, in percent of the usual time, if reported.
+    pub slowdown: Option<u32>,
+}
+
+impl Load {
+    /// The least slowdown that is used, in percent.
+    pub const MIN_SLOWDOWN: u32 = 10;
+    /// The largest slowdown that is used, in percent.
+    pub const MAX_SLOWDOWN: u32 = 10_000;
 }
 
 /// Outcome of a request, for assessing the health of the backend server.
@@ -131,11 +132,14 @@
     ejected_until: Timestamp,
     /// When the last response arrived.
     last_response_at: Timestamp,
-    /// Requests that may be sent now during the cold start, at most one.
+    /// Requests that could be sent at `cold_refilled_at` during the cold start, at most one.
     cold_allowance: f64,
-    /// When `cold_allowance` was last refilled.
+    /// When `cold_allowance` was last computed.
     cold_refilled_at: Timestamp,
     prefix_cache: Cache,
+    /// Memory of this entry's requests in flight.
+    reserved: Reserved,
+    pace: Pace,
     /// Outcomes since they were last sent to the other entries.
     tally: Tally,
     /// Whether it has said that it leaves, so that it gets no requests any more.
@@ -171,6 +175,10 @@
     /// Expected delay until the first token, beyond that of an idle local engine with the prompt
     /// cached.
     pub expected_delay: Duration,
+    /// Whether its slots or its memory are taken, as far as known.
+    pub is_full: bool,
+    /// Expected time until it begins to run the request.
+    pub expected_wait: Duration,
     /// Number of backend servers that were eligible.
     pub candidates: usize,
     /// Age of its last heartbeat.
@@ -186,7 +194,10 @@
     data_centre: id::DataCentre,
     /// Requests of other entries.
     demand: Demand,
-    shared_parts: SharedParts,
+    /// The shared parts of each service's prompts.
+    shared_parts: Map<Arc<str>, SharedParts>,
+    /// What the answers of each service have shown.
+    speeds: Map<Arc<str>, Speeds>,
     /// The backend servers that have said that they leave.
     departures: Departures,
 }
@@ -223,6 +234,9 @@
             servers.push(server);
         }
         servers.sort_by(|a, b| a.registration.backend.cmp(&b.registration.backend));
+        let shared_parts = self.shared_parts.entry(service.clone()).or_default();
+        shared_parts.reset_homes();
+        self.speeds.entry(service.clone()).or_default();
     }
 
     /// Records a heartbeat of a registered incarnation that changed nothing else.
@@ -266,6 +280,8 @@
     /// Removes the services for which `keep` returns false.
     pub fn retain(&mut self, keep: impl Fn(&str) -> bool) {
         self.services.retain(|service, _| keep(service));
+        self.shared_parts.retain(|service, _| keep(service));
+        self.speeds.retain(|service, _| keep(service));
     }
 
     /// Selects a backend server and counts the request as sent to it, also against its cold-start
@@ -276,32 +292,29 @@
         service: &str,
         request: &Request<'_>,
     ) -> Option<Selection> {
-        let shared_tokens = self.shared_parts.observe(request.affinity, request.prompt);
         let servers = self.services.get_mut(service)?;
-        let Choices {
-            candidates,
-            considered,
-        } = choices(now, servers, request, &self.data_centre);
-        let scores = considered.into_iter().map(|(index, rank)| {
-            let server = &servers[index];
-            let Registration {
-                backend,
-                data_centre,
-                ..
-            } = &server.registration;
-            let conditions = Conditions {
-                shared_tokens,
-                elsewhere: self.demand.of_others(now, backend, data_centre),
-                rank,
-                is_local: *data_centre == self.data_centre,
-            };
-            let delay = server.expected_delay(now, request, conditions);
-            (server.is_suspect(now), delay, rank, index)
-        });
-        let (_, expected, _, index) = scores.min()?;
+        let shared_parts = self.shared_parts.get_mut(service)?;
+        let shared = shared_parts.observe(now, request.affinity, request.prompt, servers);
+        let slots = servers.first()?.registration.slots;
+        let speeds = self.speeds.get_mut(service)?;
+        let answer = speeds.record_sent(request.prompt, shared.tokens);
+        let context = Context {
+            now,
+            request,
+            shared,
+            demand: &self.demand,
+            data_centre: &self.data_centre,
+            costs: speeds.costs(slots),
+        };
+        let (candidates, assessed) = context.assess(servers);
+        let best = assessed
+            .iter()
+            .min_by_key(|(index, rank, assessment)| assessment.key(*rank, *index));
+        let (index, _, assessment) = *best?;
+        let expected_micros = assessment.score.total_micros();
         let server = &mut servers[index];
         server.record_dispatch(now);
-        let cached = server.prefix_cache.cached_tokens(request.prompt);
+        server.reserved.add(request.prompt, answer);
         let capacity = server
             .registration
             .cache_tokens
@@ -311,14 +324,37 @@
             backend: server.registration.backend.clone(),
             incarnation: server.registration.incarnation,
             address: server.registration.address,
-            cached_tokens: cached,
-            expected_delay: expected,
+            cached_tokens: assessment.cached_tokens,
+            expected_delay: Duration::from_micros(expected_micros.try_into().unwrap_or(0)),
+            is_full: assessment.is_full,
+            expected_wait: assessment.expected_wait,
             candidates,
             heartbeat_age: now.saturating_sub(server.registration.last_heartbeat),
             version: server.registration.version.clone(),
         })
     }
 
+    /// Returns the backend servers of a service as a request would find them now, in the order in which
+    /// it would go to them, and then those to which it would not. Counts nothing.
+    #[must_use]
+    pub fn forecast(&self, now: Timestamp, service: &str, request: &Request<'_>) -> Vec<Candidate> {
+        let known = self.services.get(service).zip(self.speeds.get(service));
+        let Some(((servers, speeds), parts)) = known.zip(self.shared_parts.get(service)) else {
+            return Vec::new();
+        };
+        let homes = parts.peek(request.prompt, servers);
+        let slots = servers.first().map_or(1, |first| first.registration.slots);
+        let context = Context {
+            now,
+            request,
+            shared: homes.shared(),
+            demand: &self.demand,
+            data_centre: &self.data_centre,
+            costs: speeds.costs(slots),
+        };
+        context.forecast(servers)
+    }
+
     /// Records the outcome of a request to a selected backend server.
     pub fn record_outcome(
         &mut self,
@@ -330,6 +366,7 @@
     ) {
         if let Some(server) = self.find(service, backend) {
             server.in_flight = server.in_flight.saturating_sub(1);
+            server.reserved.remove();
             server.sent_since_load = server.sent_since_load.saturating_sub(1);
             server.record_outcome(now, outcome);
             if let Some(load) = load {
@@ -348,6 +385,21 @@
         }
     }
 
+    /// Records how long a request took that was answered in full.
+    pub fn record_run(&mut self, now: Timestamp, service: &str, backend: &str, run: &Run) {
+        let Some(servers) = self.services.get_mut(service) else {
+            return;
+        };
+        let Some(server) = find(servers, backend) else {
+            return;
+        };
+        let slowdown = server.slowdown_within(now, run.total).unwrap_or(1.0);
+        let slots = server.registration.slots;
+        if let Some(speeds) = self.speeds.get_mut(service) {
+            speeds.record(now, &mut server.pace, run, slots, slowdown);
+        }
+    }
+
     /// Returns the requests in flight of this entry, to be reported to its data centre.
     pub fn take_demand(&mut self) -> Counts {
         let servers = self.services.values().flatten();
@@ -405,24 +457,14 @@
     }
 
     fn find(&mut self, service: &str, backend: &str) -> Option<&mut Server> {
-        let servers = self.services.get_mut(service)?;
-        let found =
-            servers.binary_search_by(|server| server.registration.backend.as_ref().cmp(backend));
-        found.ok().and_then(|index| servers.get_mut(index))
+        find(self.services.get_mut(service)?, backend)
     }
 }
 
-/// What matters for a request's delay at a backend server besides the server's own state.
-#[derive(Debug, Clone, Copy)]
-struct Conditions {
-    /// Tokens at the start of the prompt that every engine has cached.
-    shared_tokens: id::Tokens,
-    /// Requests of other entries in flight there, if known.
-    elsewhere: Option<u32>,
-    /// Its place in the program's order; 0 is the first.
-    rank: u32,
-    /// Whether it is in the entry's data centre.
-    is_local: bool,
+fn find<'a>(servers: &'a mut [Server], backend: &str) -> Option<&'a mut Server> {
+    let found =
+        servers.binary_search_by(|server| server.registration.backend.as_ref().cmp(backend));
+    found.ok().and_then(|index| servers.get_mut(index))
 }
 
 impl Server {
@@ -440,25 +482,18 @@
             cold_allowance: 1.0,
             cold_refilled_at: now,
             prefix_cache: Cache::default(),
+            reserved: Reserved::default(),
+            pace: Pace::default(),
             tally: Tally::default(),
             is_leaving: false,
             is_departure_told: false,
         }
     }
 
-    /// Returns whether it goes on serving, and its cold-start limit admits another request.
-    fn accepts_request(&mut self, now: Timestamp) -> bool {
-        if self.is_leaving {
-            return false;
-        }
-        if now >= self.registration.cold_until {
-            return true;
-        }
+    /// Returns how many requests its cold-start limit admits now.
+    fn cold_allowance(&self, now: Timestamp) -> f64 {
         let elapsed = now.saturating_sub(self.cold_refilled_at).as_secs_f64();
-        self.cold_refilled_at = now;
-        self.cold_allowance =
-            (self.cold_allowance + elapsed * self.registration.cold_rate).min(1.0);
-        self.cold_allowance >= 1.0
+        (self.cold_allowance + elapsed * self.registration.cold_rate).min(1.0)
     }
 
     /// Returns whether it is ejected or has been silent for too long.
@@ -469,7 +504,8 @@
 
     fn record_dispatch(&mut self, now: Timestamp) {
         if now < self.registration.cold_until {
-            self.cold_allowance -= 1.0;
+            self.cold_allowance = self.cold_allowance(now) - 1.0;
+            self.cold_refilled_at = now;
         }
         self.in_flight += 1;
         self.sent_since_load += 1;
@@ -525,60 +561,6 @@
     fn holds_history(&self, prompt: &[Part]) -> bool {
         prompt.len() > 1 && self.prefix_cache.cached_parts(prompt) > 1
     }
-
-    /// Estimates the running and the waiting requests from those of all entries. If those of other
-    /// entries are not known, it uses the last reported load and the requests sent since.
-    fn estimated_load(&self, now: Timestamp, elsewhere: Option<u32>) -> (u32, u32) {
-        let slots = self.registration.slots;
-        if let Some(elsewhere) = elsewhere {
-            let total = self.in_flight + elsewhere;
-            return (total.min(slots), total.saturating_sub(slots));
-        }
-        let recent = self
-            .load
-            .filter(|(_, reported_at)| now.saturating_sub(*reported_at) < MAX_LOAD_AGE);
-        let (running, waiting) = recent.map_or((0, 0), |(load, _)| {
-            let running = load.running.saturating_add(self.sent_since_load);
-            (running, load.waiting)
-        });
-        let running = self.in_flight.max(running);
-        let excess = running.saturating_sub(slots);
-        (running.min(slots), waiting.saturating_add(excess))
-    }
-
-    /// Returns the expected delay until the first token, beyond that of an idle local engine with
-    /// the prompt cached.
-    fn expected_delay(
-        &self,
-        now: Timestamp,
-        request: &Request<'_>,
-        conditions: Conditions,
-    ) -> Duration {
-        let (running, waiting) = self.estimated_load(now, conditions.elsewhere);
-        let prompt: id::Tokens = request.prompt.iter().map(|part| part.tokens).sum();
-        let cached = self.prefix_cache.cached_tokens(request.prompt);
-        let uncached = prompt.saturating_sub(cached.max(conditions.shared_tokens));
-        let prefill = PREFILL_PER_TOKEN * u32::try_from(uncached).unwrap_or(u32::MAX);
-        let running_delay = if request.prompt.is_empty() {
-            // A plain service runs requests independently, so only a full one is slow.
-            DELAY_PER_RUNNING * running * 2 / self.registration.slots.max(1)
-        } else {
-            DELAY_PER_RUNNING * running
-        };
-        let network_delay = if conditions.is_local {
-            Duration::ZERO
-        } else if request.prompt.is_empty() {
-            REMOTE_CALL_DELAY
-        } else {
-            REMOTE_PROMPT_DELAY
-        };
-        let rank_delay = if request.prompt.is_empty() {
-            Duration::ZERO
-        } else {
-            RANK_DELAY * conditions.rank
-        };
-        prefill + running_delay + DELAY_PER_WAITING * waiting + network_delay + rank_delay
-    }
 }
 
 /// Hashes a name to an affinity, which is equal in every process.
