fix(gateway): count a request as ended if its caller leaves while a connection is opened

Callers: a backend server to which connections are slow to open seems busy for good and gets no requests, from all entries of the fleet, since its requests in flight are shared. Cause: a request counts as sent from its selection on, but was counted as ended only if its caller left after the connection was open. Fix: the guard covers the opening.

--- a/crates/celerycove-gateway/src/entry/exchange.rs
+++ b/crates/celerycove-gateway/src/entry/exchange.rs
@@ -254,7 +254,10 @@
 
     async fn attempt(&mut self, choice: Selection, last_event: Option<u64>) -> AttemptOutcome {
         let key = (choice.backend.clone(), choice.incarnation);
+        // The caller may leave while the connection is opened.
+        let guard = InFlightGuard::new(self, &choice);
         let connection = self.entry.pool.acquire(key, choice.address).await;
+        guard.disarm();
         let mut connection = match connection {
             Ok(connection) => connection,
             Err(error) => {
--- a/crates/celerycove-gateway/tests/callers.rs
+++ b/crates/celerycove-gateway/tests/callers.rs
@@ -1,6 +1,8 @@
 //! Tests of an entry, a control instance and a store on loopback, with backend servers that
 //! fail on demand.
 
+#[path = "callers/abandonment.rs"]
+mod abandonment;
 #[path = "callers/admission.rs"]
 mod admission;
 #[path = "callers/backend.rs"]
--- a/crates/celerycove-gateway/tests/callers/backend.rs
+++ b/crates/celerycove-gateway/tests/callers/backend.rs
@@ -12,7 +12,8 @@
 
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::{TcpListener, TcpStream},
+    net::{TcpListener, TcpSocket, TcpStream},
+    sync::Notify,
 };
 
 /// How a backend server fails a request.
@@ -117,6 +118,31 @@
         }
     }
 
+    /// Starts a server that accepts connections only once it is notified, and until then has room for two
+    /// that wait.
+    pub async fn start_unaccepting(name: &'static str) -> (Self, Arc<Notify>) {
+        let socket = TcpSocket::new_v4().expect("a socket");
+        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+        socket.bind(any_port).expect("a port");
+        let listener = socket.listen(1).expect("a listener");
+        let address = listener.local_addr().expect("an address");
+        let state = Arc::new(State::default());
+        let (server_state, accept) = (state.clone(), Arc::new(Notify::new()));
+        let notified = accept.clone();
+        tokio::spawn(async move {
+            notified.notified().await;
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(serve(stream, server_state.clone()));
+            }
+        });
+        let backend = Self {
+            name,
+            address,
+            state,
+        };
+        (backend, accept)
+    }
+
     pub fn executed(&self) -> Vec<ExecutedRequest> {
         self.state.executed.lock().expect("a lock").clone()
     }
