--- a/crates/celerycove-gateway/src/metrics_tests.rs
+++ b/crates/celerycove-gateway/src/metrics_tests.rs
@@ -36,3 +36,26 @@
     drop(room);
     assert_eq!(used(&exported(), "part=\"send_queues\""), Some(0));
 }
+
+/// Operators look for a bad version by these names.
+#[test]
+fn requests_and_bad_answers_of_a_rollout_are_exported_by_side() {
+    let metrics = Metrics::new().expect("metrics");
+    metrics.record_rollout("app", "old", 90, 1);
+    metrics.record_rollout("app", "new", 10, 4);
+    metrics.record_rollout("app", "new", 5, 0);
+    metrics.record_rollout_share("app", 0.125);
+    let text = String::from_utf8(metrics.encode().expect("text")).expect("text");
+    let value = |name: &str, side: &str| -> Option<f64> {
+        let mut lines = text.lines().filter(|line| line.starts_with(name));
+        let line = lines.find(|line| line.contains("service=\"app\"") && line.contains(side))?;
+        line.rsplit(' ').next()?.parse().ok()
+    };
+    let expected = [("old", 90.0, 1.0), ("new", 15.0, 4.0)];
+    for (side, requests, bad) in expected {
+        let side = format!("side=\"{side}\"");
+        assert_eq!(value("celerycove_rollout_requests", &side), Some(requests));
+        assert_eq!(value("celerycove_rollout_bad", &side), Some(bad));
+    }
+    assert_eq!(value("celerycove_rollout_share", ""), Some(0.125));
+}
