feat(route): send calls to another data centre by a share that changes slowly

Cause: in tests/spill.rs, two data centres out of phase seen through sums that are 200 to 400 ms old, 99% of the calls of 40 ms took up to 733 ms and 15% of the calls crossed while as many came the other way: entries sent all calls to the server that was idle in the last sum, and to the data centre that was. Change: for calls whose time is known, a sum that is older than a call counts as the mean of its data centre. An entry whose own calls fill the local servers is not held back. Prompts go as before.

--- a/crates/celerycove-route/src/direct.rs
+++ b/crates/celerycove-route/src/direct.rs
@@ -15,6 +15,7 @@
 mod score;
 mod shared;
 mod speed;
+mod spill;
 
 use std::{sync::Arc, time::Duration};
 
@@ -28,6 +29,7 @@
     room::Reserved,
     shared::SharedParts,
     speed::{Pace, Speeds},
+    spill::Spill,
 };
 pub use self::{
     forecast::{Assessment, Candidate, Exclusion},
@@ -190,6 +192,8 @@
     shared_parts: Map<Arc<str>, SharedParts>,
     /// What the answers of each service have shown.
     speeds: Map<Arc<str>, Speeds>,
+    /// The share of each service's calls that may go to another data centre.
+    spills: Map<Arc<str>, Spill>,
     /// The backend servers that have said that they leave.
     departures: Departures,
 }
@@ -229,6 +233,7 @@
         let shared_parts = self.shared_parts.entry(service.clone()).or_default();
         shared_parts.reset_homes();
         self.speeds.entry(service.clone()).or_default();
+        self.spills.entry(service.clone()).or_default();
     }
 
     /// Records a heartbeat of a registered incarnation that changed nothing else.
@@ -274,6 +279,7 @@
         self.services.retain(|service, _| keep(service));
         self.shared_parts.retain(|service, _| keep(service));
         self.speeds.retain(|service, _| keep(service));
+        self.spills.retain(|service, _| keep(service));
     }
 
     /// Selects a backend server and counts the request as sent to it, also against its cold-start
@@ -290,18 +296,26 @@
         let slots = servers.first()?.registration.slots;
         let speeds = self.speeds.get_mut(service)?;
         let answer = speeds.record_sent(request.prompt, shared.tokens);
-        let context = Context {
+        let spill = self.spills.get_mut(service)?;
+        let mut context = Context {
             now,
             request,
             shared,
             demand: &self.demand,
             data_centre: &self.data_centre,
             costs: speeds.costs(slots),
+            spill: *spill,
+            is_home_full: false,
         };
         let (candidates, assessed) = context.assess(servers);
+        if let Some(gain) = context.remote_gain(servers, &assessed) {
+            spill.record(now, gain, context.costs.call);
+            context.spill = *spill;
+        }
+        context.check_home(servers, &assessed);
         let best = assessed
             .iter()
-            .min_by_key(|(index, rank, assessment)| assessment.key(*rank, *index));
+            .min_by_key(|assessed| context.key(servers, assessed));
         let (index, _, assessment) = *best?;
         let expected_micros = assessment.score.total_micros();
         let server = &mut servers[index];
@@ -335,13 +349,15 @@
         };
         let homes = parts.peek(request.prompt, servers);
         let slots = servers.first().map_or(1, |first| first.registration.slots);
-        let context = Context {
+        let mut context = Context {
             now,
             request,
             shared: homes.shared(),
             demand: &self.demand,
             data_centre: &self.data_centre,
             costs: speeds.costs(slots),
+            spill: self.spills.get(service).copied().unwrap_or_default(),
+            is_home_full: false,
         };
         context.forecast(servers)
     }
--- a/crates/celerycove-route/src/direct/demand.rs
+++ b/crates/celerycove-route/src/direct/demand.rs
@@ -87,4 +87,10 @@
         let own = self.reported.get(backend).copied().unwrap_or_default();
         Some(total.saturating_sub(own))
     }
+
+    /// Returns how old the sum of a data centre is, if there is one.
+    pub(super) fn age(&self, now: Timestamp, data_centre: &id::DataCentre) -> Option<Duration> {
+        let (at, _) = self.by_data_centre.get(data_centre)?;
+        Some(now.saturating_sub(*at))
+    }
 }
--- a/crates/celerycove-route/src/direct/forecast.rs
+++ b/crates/celerycove-route/src/direct/forecast.rs
@@ -7,10 +7,11 @@
 use super::{
     Request, Score, Server,
     demand::Demand,
-    order::{Choices, choices},
+    order::{Choices, choices, rendezvous_weight},
     score::Conditions,
     shared::Shared,
     speed::Costs,
+    spill::Spill,
 };
 
 /// Why a request would not be sent to a backend server.
@@ -62,6 +63,10 @@
     pub(super) demand: &'a Demand,
     pub(super) data_centre: &'a id::DataCentre,
     pub(super) costs: Costs,
+    pub(super) spill: Spill,
+    /// Whether this entry's own requests take all slots of the compared local servers. That is known
+    /// exactly, so that it is no reason for caution.
+    pub(super) is_home_full: bool,
 }
 
 impl Context<'_> {
@@ -78,14 +83,15 @@
             self.data_centre,
             self.shared,
         );
-        let assessed = considered.into_iter().map(|(index, rank)| {
+        let elsewhere = self.requests_of_others(servers, &considered);
+        let assessed = considered.into_iter().zip(elsewhere);
+        let assessed = assessed.map(|((index, rank), elsewhere)| {
             let server = &servers[index];
-            let registration = &server.registration;
-            let (backend, data_centre) = (&registration.backend, &registration.data_centre);
+            let data_centre = &server.registration.data_centre;
             let conditions = Conditions {
                 shared_tokens: self.shared.tokens,
                 is_home: self.shared.is_home(index),
-                elsewhere: self.demand.of_others(self.now, backend, data_centre),
+                elsewhere,
                 rank,
                 is_local: *data_centre == *self.data_centre,
             };
@@ -95,10 +101,94 @@
         (candidates, assessed.collect())
     }
 
+    /// Returns the requests of other entries at each of the compared servers, if known.
+    ///
+    /// Most calls have ended before a sum of them arrives. What it tells then is how busy the data
+    /// centre is, but not which of its servers is: entries that all went to the idlest one of the sum
+    /// would fill it. So the older the sum, the nearer a server is taken to the mean of its data centre.
+    fn requests_of_others(
+        &self,
+        servers: &[Server],
+        considered: &[(usize, u32)],
+    ) -> Vec<Option<u32>> {
+        let known = considered.iter().map(|(index, _)| {
+            let registration = &servers[*index].registration;
+            let (backend, data_centre) = (&registration.backend, &registration.data_centre);
+            let requests = self.demand.of_others(self.now, backend, data_centre);
+            (data_centre, requests)
+        });
+        let known: Vec<_> = known.collect();
+        if !self.request.prompt.is_empty() || !self.costs.is_call_learned {
+            return known.into_iter().map(|(_, requests)| requests).collect();
+        }
+        let blended = known.iter().map(|(data_centre, requests)| {
+            let requests = f64::from((*requests)?);
+            let same = known.iter().filter(|(other, _)| other == data_centre);
+            let same = same.filter_map(|(_, requests)| *requests);
+            let (sum, count) = same.fold((0.0, 0.0), |(sum, count), requests| {
+                (sum + f64::from(requests), count + 1.0)
+            });
+            let mean: f64 = sum / count;
+            let age = self.demand.age(self.now, data_centre)?;
+            let weight = (-age.as_secs_f64() / self.costs.call.as_secs_f64()).exp();
+            let estimate = mean + (requests - mean) * weight;
+            u32::try_from(Duration::from_secs_f64(estimate.max(0.0).round()).as_secs()).ok()
+        });
+        blended.collect()
+    }
+
+    /// Sets `is_home_full`.
+    pub(super) fn check_home(&mut self, servers: &[Server], assessed: &[(usize, u32, Assessment)]) {
+        let mut local = assessed.iter().map(|(index, ..)| &servers[*index]);
+        self.is_home_full = local.all(|server| {
+            server.registration.data_centre != *self.data_centre
+                || server.in_flight >= server.registration.slots
+        });
+    }
+
+    /// Returns how many microseconds a call would wait less in another data centre, if sound servers of
+    /// both accept it.
+    pub(super) fn remote_gain(
+        &self,
+        servers: &[Server],
+        assessed: &[(usize, u32, Assessment)],
+    ) -> Option<i64> {
+        if !self.request.prompt.is_empty() {
+            return None;
+        }
+        let [mut local, mut remote] = [None, None];
+        for (index, _, assessment) in assessed.iter().filter(|(.., a)| !a.is_suspect) {
+            let is_local = servers[*index].registration.data_centre == *self.data_centre;
+            let best = if is_local { &mut local } else { &mut remote };
+            let delay = assessment.score.total_micros();
+            *best = Some(best.map_or(delay, |best: i64| best.min(delay)));
+        }
+        Some(local? - remote?)
+    }
+
+    /// Returns the value by which a backend server is compared; the smallest is selected.
+    pub(super) fn key(
+        &self,
+        servers: &[Server],
+        (index, rank, assessment): &(usize, u32, Assessment),
+    ) -> (bool, bool, i64, u32, usize) {
+        let is_local = servers[*index].registration.data_centre == *self.data_centre;
+        // The place of the program among all, the same for each of its calls.
+        let place = rendezvous_weight(self.request.affinity, 0) >> 32;
+        let place = u32::try_from(place).map_or(0.0, f64::from) / f64::from(u32::MAX);
+        let is_kept = self.request.prompt.is_empty()
+            && !is_local
+            && !self.is_home_full
+            && !self.spill.allows(place);
+        let delay = assessment.score.total_micros();
+        (assessment.is_suspect, is_kept, delay, *rank, *index)
+    }
+
     /// Returns all backend servers, the ones that the request would go to first.
-    pub(super) fn forecast(&self, servers: &[Server]) -> Vec<Candidate> {
+    pub(super) fn forecast(&mut self, servers: &[Server]) -> Vec<Candidate> {
         let (_, mut assessed) = self.assess(servers);
-        assessed.sort_by_key(|(index, rank, assessment)| assessment.key(*rank, *index));
+        self.check_home(servers, &assessed);
+        assessed.sort_by_key(|assessed| self.key(servers, assessed));
         let others = servers.iter().enumerate();
         let others = others.filter(|(index, _)| assessed.iter().all(|(other, ..)| other != index));
         let others = others.map(|(_, server)| {
@@ -112,13 +202,6 @@
     }
 }
 
-impl Assessment {
-    /// Returns the value by which backend servers are compared; the smallest is selected.
-    pub(super) fn key(&self, rank: u32, index: usize) -> (bool, i64, u32, usize) {
-        (self.is_suspect, self.score.total_micros(), rank, index)
-    }
-}
-
 impl Server {
     fn candidate(&self, assessment: Result<Assessment, Exclusion>) -> Candidate {
         Candidate {
--- a/crates/celerycove-route/src/direct/score.rs
+++ b/crates/celerycove-route/src/direct/score.rs
@@ -163,6 +163,14 @@
             costs.per_running * running
         };
         let waiting = costs.per_waiting * waiting;
+        // Requests arrive unevenly and those of other entries are known late, so that queues form
+        // before the slots are all taken.
+        let queues = if is_plain {
+            costs.call.mul_f64(room::delay(occupied.min(1.0)))
+        } else {
+            Duration::ZERO
+        };
+        let waiting = waiting + queues;
         let network = match (conditions.is_local, is_plain) {
             (true, _) => Duration::ZERO,
             (false, true) => REMOTE_CALL_DELAY,
@@ -194,7 +202,7 @@
         let for_slot = if has_slot {
             Duration::ZERO
         } else {
-            waiting + costs.per_waiting
+            waiting.saturating_sub(queues) + costs.per_waiting
         };
         let for_memory = if taken >= 1.0 { memory } else { Duration::ZERO };
         Assessment {
--- a/crates/celerycove-route/src/direct/speed.rs
+++ b/crates/celerycove-route/src/direct/speed.rs
@@ -65,6 +65,8 @@
     pub(super) per_waiting: Duration,
     /// Time that a plain call takes at a server of usual speed.
     pub(super) call: Duration,
+    /// Whether answers have shown that time.
+    pub(super) is_call_learned: bool,
     /// Time in which an engine of usual speed generates an answer.
     pub(super) generation: Duration,
     /// Mean number of tokens that a request takes of an engine's memory.
@@ -78,6 +80,7 @@
     per_running: Duration::from_millis(3),
     per_waiting: Duration::from_millis(60),
     call: Duration::from_millis(30),
+    is_call_learned: false,
     generation: Duration::from_millis(400),
     tokens: 0.0,
 };
@@ -253,6 +256,7 @@
             per_running: bounded(self.per_running(), NEUTRAL.per_running),
             per_waiting: bounded(per_waiting, NEUTRAL.per_waiting),
             call: total.unwrap_or(NEUTRAL.call),
+            is_call_learned: total.is_some(),
             generation: self.generation.duration().unwrap_or(NEUTRAL.generation),
             tokens: self.tokens.unwrap_or(NEUTRAL.tokens),
         }
