--- a/crates/celerycove-queue/tests/intake.rs
+++ b/crates/celerycove-queue/tests/intake.rs
@@ -61,6 +61,21 @@
     speed: |t, _| if is_peak(t) { 0.0 } else { 1.0 },
 };
 
+/// The organisation of a more urgent rank.
+const URGENT: usize = 3;
+/// Less urgent programs at 2.4 times their usual rate, while urgent ones keep to theirs.
+const LESS_URGENT: Load = Load {
+    rate: |t, organisation| {
+        USUAL_RATE
+            * if is_peak(t) && organisation != URGENT {
+                2.4
+            } else {
+                1.0
+            }
+    },
+    speed: |_, _| 1.0,
+};
+
 /// A small generator, so that a seed gives the same run everywhere.
 struct Random(u64);
 
@@ -188,7 +203,8 @@
         Job {
             id: n.to_string().into(),
             organisation: program.organisation.to_string().into(),
-            weight: 1,
+            // The last organisation has a more urgent rank in all loads.
+            weight: if program.organisation == URGENT { 8 } else { 4 },
             program: Some(n.to_string().into()),
             attained_tokens: 0,
             cost: 100.0,
@@ -366,6 +382,22 @@
     );
 }
 
+/// Guards against urgent programs that end late because of a burst of less urgent ones, and against a
+/// less urgent kind that is no longer served.
+#[test]
+fn a_burst_of_less_urgent_programs_delays_urgent_ones_less() {
+    let (without, with) = compare(|| LESS_URGENT);
+    assert!(with.in_time > without.in_time);
+    assert!(with.in_time_by_organisation[URGENT] > without.in_time_by_organisation[URGENT]);
+    for organisation in 0..URGENT {
+        let ended = |out: &Outcome| out.in_time_by_organisation[organisation];
+        assert!(
+            ended(&with) * 2 > ended(&without),
+            "organisation {organisation}"
+        );
+    }
+}
+
 /// Guards against a backlog that keeps programs late long after the capacity has come back.
 #[test]
 fn programs_end_in_time_again_after_all_capacity_was_lost() {
