fix(queue): an overload also counts while the number of programs stays the same

The tests on sockets let the entry learn for 9 s instead of 4 s, since it now learns for 6 s of measurements; what they require is unchanged. Both pass, and the 14 tests of celerycove-queue.

--- a/crates/celerycove-gateway/tests/callers/admission.rs
+++ b/crates/celerycove-gateway/tests/callers/admission.rs
@@ -12,6 +12,8 @@
 const PROGRAMS: usize = 16;
 const USUAL_PAUSE: u64 = 30;
 const SLOW_PAUSE: u64 = 150;
+/// Longer than the six seconds of measurements before an entry knows the usual load.
+const LEARNING: Duration = Duration::from_secs(9);
 /// Long enough to wait for a quarter of the caller's deadline of 4 s.
 const AMPLE: Duration = Duration::from_mins(1);
 
@@ -43,7 +45,7 @@
         assert_eq!(reply.status, 200, "{id}");
     });
     futures_util::future::join_all(programs).await;
-    sleep(Duration::from_secs(4)).await;
+    sleep(LEARNING).await;
 }
 
 fn has_executed(deployment: &Deployment, id: &str) -> bool {
--- a/crates/celerycove-queue/src/intake.rs
+++ b/crates/celerycove-queue/src/intake.rs
@@ -397,9 +397,7 @@
         let is_late = self.programs.late_share() >= OVERLOAD_LATE_SHARE;
         let calm = CALM_SLOWDOWN.max(self.pressure.noise(CALM_DISTANCES));
         let overload = OVERLOAD_SLOWDOWN.max(self.pressure.noise(OVERLOAD_DISTANCES));
-        let is_slow = slowdown >= overload || (slowdown >= calm && is_late);
-        // A limit in force keeps the service from being crowded.
-        let is_overloaded = is_slow && (self.limit.is_some() || self.pressure.is_crowded());
+        let is_overloaded = slowdown >= overload || (slowdown >= calm && is_late);
         if is_overloaded {
             self.last_overload = self.now;
             let count = self.programs.count();
--- a/crates/celerycove-queue/src/intake/pressure.rs
+++ b/crates/celerycove-queue/src/intake/pressure.rs
@@ -29,9 +29,6 @@
 /// Largest distance that counts for the spread: a multiple of the spread, and a value to begin with.
 const MAX_DISTANCE: f64 = 2.5;
 const MIN_DISTANCE: f64 = 0.01;
-/// Multiple of the usual number of running turns from which a service is crowded: less than the
-/// slowdown of an overload.
-const CROWDED: f64 = 1.2;
 /// A running turn counts as soon as it has taken this multiple of its usual time.
 const OVERDUE: f64 = 1.2;
 
@@ -72,8 +69,6 @@
     /// Mean distance between the logarithms of the measured ratios and of the usual one.
     spread: f64,
     measurements: u32,
-    /// Number of running turns at the service's usual load.
-    usual_running: f64,
     /// Current ratio relative to the usual one.
     slowdown: Option<f64>,
 }
@@ -148,16 +143,6 @@
         (self.spread * distances).exp()
     }
 
-    /// Returns whether clearly more turns run than usual. If turns become slower, more of them run; if a
-    /// few turns happen to take long, hardly more do.
-    pub(super) fn is_crowded(&self) -> bool {
-        self.running_turns() >= CROWDED * self.usual_running
-    }
-
-    fn running_turns(&self) -> f64 {
-        f64::from(u32::try_from(self.running.len()).unwrap_or(u32::MAX))
-    }
-
     /// Returns whether a turn is running.
     pub(super) fn is_busy(&self) -> bool {
         !self.running.is_empty()
@@ -167,17 +152,6 @@
     fn learn(&mut self, ratio: f64) {
         let step = (MAX_STEP / (1.0 + f64::from(self.measurements) / 20.0)).max(MIN_STEP);
         let usual = self.usual.unwrap_or(ratio);
-        let running = self.running_turns();
-        let direction = if running > self.usual_running {
-            0.5
-        } else {
-            -0.5
-        };
-        self.usual_running = if self.usual.is_some() {
-            self.usual_running * (step * direction).exp()
-        } else {
-            running
-        };
         // The cap keeps an overload from counting as spread.
         let distance = (ratio / usual).ln().abs();
         let distance = distance.min(MAX_DISTANCE * self.spread + MIN_DISTANCE);
