--- a/crates/celerycove-queue/tests/intake.rs
+++ b/crates/celerycove-queue/tests/intake.rs
@@ -61,6 +61,21 @@
     speed: |t, _| if is_peak(t) { 0.0 } else { 1.0 },
 };
 
+/// The organisation of a more urgent rank.
+const URGENT: usize = 3;
+/// Less urgent programs at 2.4 times their usual rate, while urgent ones keep to theirs.
+const LESS_URGENT: Load = Load {
+    rate: |t, organisation| {
+        USUAL_RATE
+            * if is_peak(t) && organisation != URGENT {
+                2.4
+            } else {
+                1.0
+            }
+    },
+    speed: |_, _| 1.0,
+};
+
 /// A small generator, so that a seed gives the same run everywhere.
 struct Random(u64);
 
@@ -188,7 +203,8 @@
         Job {
             id: n.to_string().into(),
             organisation: program.organisation.to_string().into(),
-            weight: 1,
+            // The last organisation has a more urgent rank in all loads.
+            weight: if program.organisation == URGENT { 8 } else { 4 },
             program: Some(n.to_string().into()),
             attained_tokens: 0,
             cost: 100.0,
@@ -366,6 +382,22 @@
     );
 }
 
+/// Guards against urgent programs that end late because of a burst of less urgent ones, and against a
+/// less urgent kind that is no longer served.
+#[test]
+fn a_burst_of_less_urgent_programs_delays_urgent_ones_less() {
+    let (without, with) = compare(|| LESS_URGENT);
+    assert!(with.in_time > without.in_time);
+    assert!(with.in_time_by_organisation[URGENT] > without.in_time_by_organisation[URGENT]);
+    for organisation in 0..URGENT {
+        let ended = |out: &Outcome| out.in_time_by_organisation[organisation];
+        assert!(
+            ended(&with) * 2 > ended(&without),
+            "organisation {organisation}"
+        );
+    }
+}
+
 /// Guards against a backlog that keeps programs late long after the capacity has come back.
 #[test]
 fn programs_end_in_time_again_after_all_capacity_was_lost() {
@@ -389,7 +421,7 @@
             sent: 0,
             running: Vec::new(),
         };
-        steady.run(Duration::from_secs(5), 1);
+        steady.run(Duration::from_secs(10), 1);
         assert_eq!(steady.intake.status().limit, None);
         steady
     }
@@ -452,28 +484,22 @@
 /// a limit that is in force more than 500 ms after the last slow turn.
 #[test]
 fn an_overload_is_noticed_within_300_ms_and_over_within_500_ms() {
-    let mut steady = Steady::new();
-    // A turn shows that it is slow no sooner than at its usual end.
-    steady.run(Duration::from_millis(400 + 300), 2);
-    assert!(
-        steady.intake.status().limit.is_some(),
-        "{:?}",
-        steady.intake.status()
-    );
-    steady.run(Duration::from_secs(5), 2);
-    assert!(
-        steady.intake.status().limit.is_some(),
-        "{:?}",
-        steady.intake.status()
-    );
-    // The last slow turn ends 800 ms after it was sent.
-    steady.run(Duration::from_millis(800 + 500), 1);
-    assert_eq!(
-        steady.intake.status().limit,
-        None,
-        "{:?}",
-        steady.intake.status()
-    );
+    // The windows of measurement may begin at any time.
+    for phase in 0..10 {
+        let mut steady = Steady::new();
+        steady.run(STEP * phase, 1);
+        // A turn shows that it is slow no sooner than at its usual end.
+        steady.run(Duration::from_millis(400 + 300), 2);
+        let status = steady.intake.status();
+        assert!(status.limit.is_some(), "phase {phase}: {status:?}");
+        steady.run(Duration::from_secs(5), 2);
+        let status = steady.intake.status();
+        assert!(status.limit.is_some(), "phase {phase}: {status:?}");
+        // The last slow turn ends 800 ms after it was sent.
+        steady.run(Duration::from_millis(800 + 500), 1);
+        let status = steady.intake.status();
+        assert_eq!(status.limit, None, "phase {phase}: {status:?}");
+    }
 }
 
 /// Guards against a refused caller that returns in time and is put behind those that came after it,
