fix(gateway): the first start survives kills of control instances and stores

Cause: only the lowest seed could choose the first members of the control log, and only in the life that was started with bootstrap=true. Killed before, it came back without the duty. Stores killed before they opened their log came back without a vote.

Change: a process records the first start on its disk until its log is open.

--- a/crates/celerycove-control/src/membership.rs
+++ b/crates/celerycove-control/src/membership.rs
@@ -113,17 +113,24 @@
     !members.contains(instance) && members.len() >= options.target && members.is_subset(voters)
 }
 
-/// Chooses the first members of a new log among instances with an empty disk.
+/// Chooses the first members of a new log among instances with an empty disk. They include `chooser`,
+/// if it is one of these.
 ///
 /// The data centres are used in turn. The number of members is odd if there are more than two,
 /// since an even number tolerates no more failures than the odd number below it.
 #[must_use]
 pub fn initial_members(
     available: &BTreeMap<id::Process, id::DataCentre>,
+    chooser: Option<&id::Process>,
     max_members: usize,
 ) -> Members {
     let mut members = Members::new();
     let mut counts: BTreeMap<&id::DataCentre, usize> = BTreeMap::new();
+    if let Some((name, data_centre)) = chooser.and_then(|chooser| available.get_key_value(chooser))
+    {
+        counts.insert(data_centre, 1);
+        members.insert(name.clone());
+    }
     while members.len() < max_members {
         let remaining = available
             .iter()
@@ -139,7 +146,9 @@
         members.insert(name.clone());
     }
     if members.len().is_multiple_of(2) && members.len() > 2 {
-        members.pop_last();
+        let last = members.iter().rfind(|member| Some(*member) != chooser);
+        let last = last.cloned();
+        last.map(|last| members.remove(&last));
     }
     members
 }
--- a/crates/celerycove-control/src/raft.rs
+++ b/crates/celerycove-control/src/raft.rs
@@ -126,7 +126,11 @@
             voter: bootstrap.is_some(),
             ..Ballot::default()
         });
-        let snapshot = persisted.snapshot.unwrap_or_else(|| Snapshot {
+        // A snapshot without a ballot is from a bootstrap that broke off between the two. Its members may
+        // be others than those given now if nobody has been sent them.
+        let unfinished = storage_is_empty && bootstrap.is_some();
+        let saved = persisted.snapshot.filter(|_| !unfinished);
+        let snapshot = saved.unwrap_or_else(|| Snapshot {
             index: 0,
             term: 0,
             members: bootstrap.unwrap_or_default(),
--- a/crates/celerycove-control/tests/membership.rs
+++ b/crates/celerycove-control/tests/membership.rs
@@ -145,9 +145,12 @@
         ("b2", "y"),
         ("c1", "z"),
     ]);
-    assert_eq!(initial_members(&available, 3), members(&["a1", "b1", "c1"]));
     assert_eq!(
-        initial_members(&available, 5),
+        initial_members(&available, None, 3),
+        members(&["a1", "b1", "c1"])
+    );
+    assert_eq!(
+        initial_members(&available, None, 5),
         members(&["a1", "a2", "b1", "b2", "c1"])
     );
 }
@@ -155,9 +158,9 @@
 #[test]
 fn the_first_members_are_odd_in_number_if_more_than_two() {
     let four = available(&[("a", "w"), ("b", "x"), ("c", "y"), ("d", "z")]);
-    assert_eq!(initial_members(&four, 5), members(&["a", "b", "c"]));
+    assert_eq!(initial_members(&four, None, 5), members(&["a", "b", "c"]));
     let two = available(&[("a", "x"), ("b", "y")]);
-    assert_eq!(initial_members(&two, 3), members(&["a", "b"]));
+    assert_eq!(initial_members(&two, None, 3), members(&["a", "b"]));
 }
 
 /// Guards against taking away an instance on which the log still depends.
--- a/crates/celerycove-disk/src/control.rs
+++ b/crates/celerycove-disk/src/control.rs
@@ -7,6 +7,8 @@
     storage::{Ballot, Error, PersistentState, ReadSnapshot, Snapshot, Storage, WriteSnapshot},
 };
 
+use serde::{Deserialize, Serialize};
+
 use crate::{
     records::{self, Records},
     value,
@@ -17,6 +19,17 @@
 /// The file of term and vote. An instance writes it before any other, so it marks a directory that
 /// is in use.
 const BALLOT_FILE: &str = "ballot";
+/// The file that holds a [`FirstStart`].
+const FIRST_START_FILE: &str = "first-start";
+
+/// What a directory without a log records of the first start of the system.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum FirstStart {
+    /// The process itself was started as part of it.
+    Own,
+    /// The process was started later, and was told then that no log had been opened yet.
+    Told,
+}
 
 /// The control log in a directory.
 #[derive(Debug)]
@@ -60,6 +73,46 @@
         directory.join(BALLOT_FILE).exists()
     }
 
+    /// Records what is known of the first start of the system, so that a process which is killed before
+    /// it opens its log still knows it when it starts again. Keeps an earlier record. Creates the
+    /// directory if it is missing.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error unless the record is in place and synced.
+    pub fn record_first_start(directory: &Path, record: FirstStart) -> Result<(), Error> {
+        if Self::first_start(directory).is_some() {
+            return Ok(());
+        }
+        std::fs::create_dir_all(directory).map_err(storage_error("create the directory of"))?;
+        value::save(&directory.join(FIRST_START_FILE), &record)
+            .map_err(storage_error("record the first start of"))
+    }
+
+    /// Returns the record of the first start, if no log was opened since. A record that can't be read
+    /// counts as none.
+    #[must_use]
+    pub fn first_start(directory: &Path) -> Option<FirstStart> {
+        if Self::has_log(directory) {
+            return None;
+        }
+        value::load(&directory.join(FIRST_START_FILE)).ok()?
+    }
+
+    /// Removes the record of the first start, if there is one.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it can't be removed.
+    pub fn clear_first_start(directory: &Path) -> Result<(), Error> {
+        match std::fs::remove_file(directory.join(FIRST_START_FILE)) {
+            Err(error) if error.kind() != std::io::ErrorKind::NotFound => {
+                Err(storage_error("clear the first start of")(error))
+            }
+            _ => Ok(()),
+        }
+    }
+
     fn ballot_path(&self) -> PathBuf {
         self.directory.join(BALLOT_FILE)
     }
--- a/crates/celerycove-gateway/src/control.rs
+++ b/crates/celerycove-gateway/src/control.rs
@@ -119,6 +119,7 @@
         .control
         .ok_or(Error::Missing("control address"))?;
     let me = setup.process();
+    setup.record_own_first_start();
     let local_peer = Peer {
         process: me.clone(),
         role: Role::Control,
@@ -126,9 +127,10 @@
         data_centre: setup.data_centre.clone(),
         has_disk: setup.data_dir.is_some(),
         may_bootstrap: setup.may_bootstrap_log(),
+        has_empty_disk: setup.has_empty_disk(),
     };
     let connections = Connections::new(local_peer.clone(), account.clone());
-    let may_bootstrap = local_peer.may_bootstrap;
+    let has_empty_disk = local_peer.has_empty_disk;
     let control = Arc::new_cyclic(|weak_self| Control {
         weak_self: weak_self.clone(),
         local_peer,
@@ -146,13 +148,13 @@
         relayed_changes: Mutex::default(),
         crashes: Mutex::default(),
         maintenance: Mutex::default(),
-        bootstrap: Mutex::new(bootstrap::Bootstrap::new(&setup)),
+        bootstrap: Mutex::default(),
         standstill: Mutex::default(),
         no_room_lines: Mutex::new(Limit::new(NO_ROOM_LINES)),
         setup,
     });
     connections.set_handler(control.clone());
-    if !may_bootstrap {
+    if !has_empty_disk {
         control.open_log(None)?;
     }
     let internal = control.setup.internal_address()?;
@@ -165,8 +167,8 @@
 }
 
 impl Control {
-    /// Opens the log, and bootstraps it if `initial_members` contains this process. Does nothing
-    /// without a disk.
+    /// Opens the log, and bootstraps it if `initial_members` contains this process and it may vote in a
+    /// new log. Does nothing without a disk.
     fn open_log(
         self: &Arc<Self>,
         initial_members: Option<BTreeSet<id::Process>>,
@@ -180,7 +182,8 @@
         let control = self.clone();
         let replica = Replica::open(
             me.clone(),
-            initial_members.filter(|members| members.contains(&me)),
+            initial_members
+                .filter(|members| members.contains(&me) && self.setup.may_vote_in_new_log()),
             Box::new(move || Ok(Box::new(Store::new(data.clone())?))),
             self.connections.clone(),
             options(SNAPSHOT_AFTER_ENTRIES),
@@ -188,6 +191,7 @@
         )?;
         // Set only once: at the start, or later when the initial members are known.
         let _ = self.replica.set(replica);
+        self.setup.clear_first_start();
         Ok(())
     }
 
@@ -565,6 +569,7 @@
             Frame::Evidence(reports) => self.forward_reports(peer, reports),
             Frame::Crashes(evidence) => self.merge_crashes(peer, *evidence),
             Frame::InitialMembers(members) => self.bootstrap_log(&members),
+            Frame::FirstStart => self.record_first_start(),
             Frame::Demand(counts) => lock(&self.demand).record(clock::now(), peer, counts),
             Frame::Hello(_) | Frame::Ping | Frame::Reply(..) | Frame::TotalDemand(..) => {}
         }
--- a/crates/celerycove-gateway/src/control/maintenance.rs
+++ b/crates/celerycove-gateway/src/control/maintenance.rs
@@ -203,7 +203,7 @@
         let stores = self.fleet_state.peers(Role::Store);
         let candidates: Vec<&PeerStatus> = stores
             .iter()
-            .filter(|status| status.peer.may_bootstrap && status.silent < ROUND_INTERVAL * 4)
+            .filter(|status| status.peer.has_empty_disk && status.silent < ROUND_INTERVAL * 4)
             .collect();
         if candidates.is_empty() {
             return None;
@@ -218,7 +218,8 @@
             .iter()
             .map(|status| (status.peer.process.clone(), status.peer.data_centre.clone()));
         let members = self.setup.target_members();
-        Some(membership::initial_members(&candidates.collect(), members))
+        let candidates = candidates.collect();
+        Some(membership::initial_members(&candidates, None, members))
     }
 
     /// Proposes a change of the control log's members if one is due, for example after an instance
--- a/crates/celerycove-gateway/src/control/maintenance_tests.rs
+++ b/crates/celerycove-gateway/src/control/maintenance_tests.rs
@@ -13,6 +13,7 @@
             data_centre: "a".into(),
             has_disk: false,
             may_bootstrap: false,
+            has_empty_disk: false,
         },
         silent,
     }
--- a/crates/celerycove-gateway/src/entry.rs
+++ b/crates/celerycove-gateway/src/entry.rs
@@ -111,6 +111,7 @@
         data_centre: setup.data_centre.clone(),
         has_disk: false,
         may_bootstrap: false,
+        has_empty_disk: false,
     };
     let connections = Connections::new(local_peer, account.clone());
     let entry = Arc::new(Entry {
--- a/crates/celerycove-gateway/src/message.rs
+++ b/crates/celerycove-gateway/src/message.rs
@@ -31,9 +31,13 @@
     /// Whether it has a disk and can be a member of a replicated log.
     #[serde(rename = "keeps")]
     pub has_disk: bool,
-    /// Whether it may bootstrap a log: the system starts for the first time and its disk is empty.
+    /// Whether it was started as part of the first start of the system and its disk held no log.
     #[serde(rename = "founder")]
     pub may_bootstrap: bool,
+    /// Whether its disk held no log when it started. A process of a version that doesn't tell counts
+    /// as one with a log.
+    #[serde(default)]
+    pub has_empty_disk: bool,
 }
 
 /// One message on a connection.
@@ -45,9 +49,12 @@
     Ping,
     /// A message of the replicated log that both processes are members of.
     Log(Box<Message>),
-    /// The initial members of the control log, from the one instance that may choose them.
+    /// The initial members of the control log, from the one instance that may choose them or from one
+    /// that has opened its log with them.
     #[serde(rename = "Found")]
     InitialMembers(BTreeSet<id::Process>),
+    /// No control log has been opened yet: from the instance that is to choose its initial members.
+    FirstStart,
     /// Counts of requests that backend servers answered and failed at an entry, for the other
     /// entries of its data centre.
     Evidence(Vec<Report>),
--- a/crates/celerycove-gateway/src/setup.rs
+++ b/crates/celerycove-gateway/src/setup.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, path::PathBuf, sync::Arc, time::Duration};
 
-use celerycove_disk::Store as Disk;
+use celerycove_disk::{Store as Disk, control::FirstStart};
 use celerycove_types::id;
 use serde::{Deserialize, Serialize};
 
@@ -129,12 +129,58 @@
             .collect()
     }
 
-    /// Whether this process may bootstrap a replicated log: the system starts for the first time
-    /// and the disk holds no log yet.
+    /// Records on the disk that the system starts for the first time. If the process is killed before
+    /// it opens its log, its next start is told that the system starts no more for the first time.
+    pub(crate) fn record_own_first_start(&self) {
+        if self.bootstrap {
+            self.record_first_start(FirstStart::Own);
+        }
+    }
+
+    /// Records on an empty disk that no log had been opened when this process already ran.
+    pub(crate) fn record_first_start(&self, record: FirstStart) {
+        if let Some(data) = &self.data_dir
+            && !Disk::has_log(data)
+            && let Err(error) = Disk::record_first_start(data, record)
+        {
+            log::warn!(target: "log", error:% = error; "could not record the first start");
+        }
+    }
+
+    /// Removes the record of the first start, after the log was opened.
+    pub(crate) fn clear_first_start(&self) {
+        if let Some(data) = &self.data_dir
+            && let Err(error) = Disk::clear_first_start(data)
+        {
+            log::warn!(target: "log", error:% = error; "could not clear the record of the first start");
+        }
+    }
+
+    /// Whether this process was started as part of the first start of the system, now or before it was
+    /// killed, and its disk holds no log yet.
     #[must_use]
     pub fn may_bootstrap_log(&self) -> bool {
+        let is_own =
+            |data: &PathBuf| self.bootstrap || Disk::first_start(data) == Some(FirstStart::Own);
+        self.has_empty_disk() && self.data_dir.as_ref().is_some_and(is_own)
+    }
+
+    /// Whether this process may open a new log with a vote: its disk holds no log, and has not been
+    /// lost since a time at which no log had been opened.
+    ///
+    /// The record of the first start is lost with the disk, so an instance that may have voted before
+    /// it lost its disk gets no vote by this.
+    #[must_use]
+    pub fn may_vote_in_new_log(&self) -> bool {
+        let is_recorded = |data: &PathBuf| self.bootstrap || Disk::first_start(data).is_some();
+        self.has_empty_disk() && self.data_dir.as_ref().is_some_and(is_recorded)
+    }
+
+    /// Whether this process has a disk that holds no log.
+    #[must_use]
+    pub fn has_empty_disk(&self) -> bool {
         let is_empty = |data: &PathBuf| !Disk::has_log(data);
-        self.bootstrap && self.data_dir.as_ref().is_some_and(is_empty)
+        self.data_dir.as_ref().is_some_and(is_empty)
     }
 
     /// How many members a replicated log should have, so that a majority survives the loss of
--- a/crates/celerycove-gateway/src/store.rs
+++ b/crates/celerycove-gateway/src/store.rs
@@ -7,7 +7,7 @@
 };
 
 use celerycove_control::{Answer, log::Command as LogCommand, membership};
-use celerycove_disk::Store as Disk;
+use celerycove_disk::{Store as Disk, control::FirstStart};
 use celerycove_turn::{Command, Outcome};
 use celerycove_types::id;
 
@@ -61,6 +61,7 @@
         .clone()
         .ok_or(Error::Missing("data directory"))?;
     let me = setup.process();
+    setup.record_own_first_start();
     let local_peer = Peer {
         process: me.clone(),
         role: Role::Store,
@@ -68,6 +69,7 @@
         data_centre: setup.data_centre.clone(),
         has_disk: true,
         may_bootstrap: setup.may_bootstrap_log(),
+        has_empty_disk: setup.has_empty_disk(),
     };
     let connections = Connections::new(local_peer, account.clone());
     let store = Arc::new_cyclic(|weak_self| Store {
@@ -110,6 +112,7 @@
         )?;
         // Set only once: at the start, or later by the task that calls `run`.
         let _ = self.replica.set(replica);
+        self.setup.clear_first_start();
         Ok(())
     }
 
@@ -145,10 +148,14 @@
             return;
         };
         if view.fleet.founders.is_empty() {
+            // No store has opened a log yet, so this one has not voted either.
+            if !self.setup.may_vote_in_new_log() {
+                self.setup.record_first_start(FirstStart::Told);
+            }
             return;
         }
         let me = self.setup.process();
-        let bootstraps = self.setup.bootstrap && view.fleet.founders.contains(&me);
+        let bootstraps = self.setup.may_vote_in_new_log() && view.fleet.founders.contains(&me);
         let initial_members = bootstraps.then(|| view.fleet.founders.clone());
         if let Err(error) = self.open_log(initial_members) {
             log::error!(target: "log", error:% = error; "could not open the stores' log");
@@ -297,6 +304,7 @@
                 }
             }
             Frame::InitialMembers(_)
+            | Frame::FirstStart
             | Frame::RequestView
             | Frame::Evidence(_)
             | Frame::Demand(_)
--- a/crates/celerycove-gateway/tests/backlog.rs
+++ b/crates/celerycove-gateway/tests/backlog.rs
@@ -75,6 +75,7 @@
             data_centre: "a".into(),
             has_disk: false,
             may_bootstrap: false,
+            has_empty_disk: false,
         }));
         let hello = hello.expect("encoded");
         let length = u32::try_from(hello.len()).expect("short");
--- a/crates/celerycove-gateway/tests/listeners.rs
+++ b/crates/celerycove-gateway/tests/listeners.rs
@@ -81,6 +81,7 @@
         data_centre: "a".into(),
         has_disk: false,
         may_bootstrap: false,
+        has_empty_disk: false,
     };
     length_prefixed(&link::encode(&Frame::Hello(peer)).expect("encoded"))
 }
@@ -273,6 +274,7 @@
             data_centre: "a".into(),
             has_disk: false,
             may_bootstrap: false,
+            has_empty_disk: false,
         };
         let connections = link::Connections::new(local, account.clone());
         let peer = free_address().to_string().as_str().into();
--- a/crates/celerycove-gateway/tests/spread.rs
+++ b/crates/celerycove-gateway/tests/spread.rs
@@ -107,6 +107,7 @@
             data_centre: "a".into(),
             has_disk: true,
             may_bootstrap: false,
+            has_empty_disk: false,
         },
         silent,
     }
