--- a/crates/celerycove-control/src/replicate.rs
+++ b/crates/celerycove-control/src/replicate.rs
@@ -218,11 +218,8 @@
             }
             None if awaits_probe_reply => self.keepalive_append(),
             None => {
-                progress.begin_probe(self.now, self.round);
-                let Some(body) = self.next_install(peer) else {
-                    return;
-                };
-                body
+                self.restart_chunks(peer);
+                return;
             }
         };
         self.send(peer, body);
@@ -257,10 +254,8 @@
         match matched {
             Some(matched) => {
                 progress.match_index = progress.match_index.max(matched);
-                // The snapshot transfer is complete once the log's remaining entries can follow.
-                if matched >= self.log.snapshot_index() {
-                    progress.snapshot_position = None;
-                }
+                let position = &mut progress.snapshot_position;
+                position.take_if(|position| position.is_complete(matched));
                 // Replies to heartbeats don't answer a probe.
                 if matched >= progress.next_index || progress.next_index == log_end {
                     progress.probe_sent_at = None;
--- a/crates/celerycove-control/tests/size.rs
+++ b/crates/celerycove-control/tests/size.rs
@@ -372,3 +372,50 @@
     cluster.configure(61..=560);
     assert!(cluster.version(follower) > 60);
 }
+
+/// Guards against a transfer over a slow link that takes more memory than a log may: chunks on their way,
+/// or entries kept for the follower.
+#[test]
+fn a_transfer_over_a_slow_link_stays_within_the_bounds() {
+    let mut cluster = Cluster::new();
+    let follower = (cluster.leader() + 1) % 3;
+    cluster.cut_off = vec![follower];
+    cluster.configure(1..=60);
+    cluster.cut_off.clear();
+    cluster.slow = Some(follower);
+    cluster.largest_unanswered = 0;
+    cluster.configure(61..=260);
+    assert!(
+        cluster.largest_log <= MAX_LOG_BYTES,
+        "{} bytes in memory",
+        cluster.largest_log
+    );
+    assert!(
+        cluster.largest_unanswered <= MAX_LOG_BYTES / 2,
+        "{} bytes without an answer",
+        cluster.largest_unanswered
+    );
+}
+
+/// Guards against a log that is kept for a follower which has stopped receiving its snapshot.
+#[test]
+fn a_stalled_transfer_holds_no_entries() {
+    let mut cluster = Cluster::new();
+    let follower = (cluster.leader() + 1) % 3;
+    cluster.cut_off = vec![follower];
+    cluster.configure(1..=60);
+    cluster.cut_off.clear();
+    cluster.slow = Some(follower);
+    cluster.configure(61..=70);
+    cluster.cut_off = vec![follower];
+    cluster.configure(71..=120);
+    let leader = cluster.leader();
+    let largest = (121..=160).map(|version| {
+        cluster.configure(version..=version);
+        cluster.nodes[leader].log_usage().bytes
+    });
+    let largest = largest.max().expect("a size");
+    // An entry is compacted once it is applied.
+    let bound = MAX_LOG_BYTES / 2 + 2 * CONFIG_BYTES as u64;
+    assert!(largest <= bound, "{largest} bytes in memory");
+}
