--- a/crates/celerycove-control/src/raft.rs
+++ b/crates/celerycove-control/src/raft.rs
@@ -16,10 +16,6 @@
     transfer::{Incoming, Outgoing, Position},
 };
 
-/// While a follower receives a snapshot, this many times as many entries as otherwise are kept. It
-/// bounds what small entries take up in memory beyond their encoded bytes.
-const TRANSFER_INTERVALS: u64 = 8;
-
 /// The replication progress of one follower, as its leader tracks it.
 #[derive(Debug, Clone)]
 pub(crate) struct Progress {
@@ -292,23 +288,15 @@
 
     /// Whether a snapshot is to replace the applied entries: there are enough of them, or they take up
     /// half of the log's bytes; the other half is for entries that are not applied yet. While a
-    /// follower receives a snapshot, the entries that follow it are kept as long as possible.
+    /// follower is being sent a snapshot, the entries that follow it are kept as long as possible.
     fn is_compaction_due(&self) -> bool {
         let start = self.log.snapshot_index();
         let bytes = self.log.bytes_in(start, self.applied_index);
-        let (max_bytes, max_entries) = if self.is_transfer_progressing() {
-            let max_entries = self
-                .options
-                .snapshot_interval
-                .saturating_mul(TRANSFER_INTERVALS);
-            (self.options.max_log_bytes / 4 * 3, max_entries)
-        } else {
-            (
-                self.options.max_log_bytes / 2,
-                self.options.snapshot_interval,
-            )
+        let max_bytes = match self.outgoing_snapshot {
+            Some(_) => self.options.max_log_bytes / 4 * 3,
+            None => self.options.max_log_bytes / 2,
         };
-        let is_long = self.applied_index - start >= max_entries;
+        let is_long = self.applied_index - start >= self.options.snapshot_interval;
         is_long || (bytes > 0 && bytes >= max_bytes)
     }
 
--- a/crates/celerycove-control/src/replicate.rs
+++ b/crates/celerycove-control/src/replicate.rs
@@ -218,8 +218,11 @@
             }
             None if awaits_probe_reply => self.keepalive_append(),
             None => {
-                self.restart_chunks(peer);
-                return;
+                progress.begin_probe(self.now, self.round);
+                let Some(body) = self.next_install(peer) else {
+                    return;
+                };
+                body
             }
         };
         self.send(peer, body);
@@ -254,8 +257,10 @@
         match matched {
             Some(matched) => {
                 progress.match_index = progress.match_index.max(matched);
-                let position = &mut progress.snapshot_position;
-                position.take_if(|position| position.is_complete(matched));
+                // The snapshot transfer is complete once the log's remaining entries can follow.
+                if matched >= self.log.snapshot_index() {
+                    progress.snapshot_position = None;
+                }
                 // Replies to heartbeats don't answer a probe.
                 if matched >= progress.next_index || progress.next_index == log_end {
                     progress.probe_sent_at = None;
