--- a/crates/celerycove-gateway/tests/callers/abandonment.rs
+++ b/crates/celerycove-gateway/tests/callers/abandonment.rs
@@ -19,7 +19,7 @@
 #[test]
 fn a_server_is_used_again_after_callers_left_during_the_connection() {
     fleet::run(async |deployment: &Deployment| {
-        let (backend, accept) = Backend::start_unaccepting("slow").await;
+        let (backend, accept) = Backend::start_unaccepting("slow");
         // Fills the queue of connections, so that the next ones are not answered.
         let mut fillers = Vec::new();
         for _ in 0..2 {
--- a/crates/celerycove-gateway/tests/callers/backend.rs
+++ b/crates/celerycove-gateway/tests/callers/backend.rs
@@ -120,7 +120,7 @@
 
     /// Starts a server that accepts connections only once it is notified, and until then has room for two
     /// that wait.
-    pub async fn start_unaccepting(name: &'static str) -> (Self, Arc<Notify>) {
+    pub fn start_unaccepting(name: &'static str) -> (Self, Arc<Notify>) {
         let socket = TcpSocket::new_v4().expect("a socket");
         let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
         socket.bind(any_port).expect("a port");
