--- a/crates/celerycove-route/src/lib.rs
+++ b/crates/celerycove-route/src/lib.rs
@@ -10,6 +10,7 @@
 
 pub mod choose;
 pub mod direct;
+pub mod hedge;
 pub mod pool;
 pub mod prefix;
 pub mod stats;
