--- a/crates/celerycove-gateway/src/entry.rs
+++ b/crates/celerycove-gateway/src/entry.rs
@@ -1,5 +1,6 @@
 //! An entry instance: a proxy that forwards callers' requests to backend servers.
 
+mod attempt;
 mod chains;
 mod crashes;
 mod detour;
--- a/crates/celerycove-gateway/src/entry/exchange.rs
+++ b/crates/celerycove-gateway/src/entry/exchange.rs
@@ -11,42 +11,34 @@
 use celerycove_rollout::{guide::Answer, order::Version};
 use celerycove_route::direct::{Outcome, Run, Selection};
 use celerycove_types::{Timestamp, id};
-use http_body_util::Full;
 use hyper::{
-    HeaderMap, Method, Request, StatusCode, Uri,
+    HeaderMap, Method, Uri,
     body::Incoming,
     http::{response::Parts, uri::PathAndQuery},
 };
 
 use super::{
     Entry, Refusal,
+    attempt::{AttemptOutcome, InFlightGuard},
     crashes::Broken,
     intake::Pass,
-    pool::{PooledConnection, SendError},
+    pool::PooledConnection,
     response::{BufferError, collect, is_delimited, keeps_alive},
     rollout::Ticket,
 };
 use crate::{
     clock,
-    dialect::{Attempt, RequestMetadata, ResponseMetadata},
+    dialect::{RequestMetadata, ResponseMetadata},
     link::lock,
     memory::{Part, Room},
 };
 
 /// A request with less time left than this is refused: sending it would waste a backend server's
 /// work.
-const MIN_TIME_LEFT: Duration = Duration::from_millis(8);
+pub(super) const MIN_TIME_LEFT: Duration = Duration::from_millis(8);
 /// Number of attempts after which a request is refused if the last one did not run it, because the
 /// backend server declined or was out of reach.
 const MAX_TRIES: u32 = 5;
-/// Multiple of the route's target latency after which a request that may be repeated is retried at
-/// another backend server.
-const RESPONSE_TIMEOUT_FACTOR: u32 = 3;
-/// Lower bound of that timeout, so that a short load peak does not count as a failure.
-const MIN_RESPONSE_TIMEOUT: Duration = Duration::from_millis(450);
-/// Time without a response after which a resumable stream is requested from another backend server.
-const STREAM_START_TIMEOUT: Duration = Duration::from_millis(1_500);
-
 /// An admitted request and the state of its attempts.
 pub(super) struct Dispatch {
     pub(super) entry: Arc<Entry>,
@@ -111,16 +103,6 @@
     pub(super) body: Bytes,
 }
 
-/// Outcome of one attempt.
-enum AttemptOutcome {
-    Responded(Box<Exchange>),
-    /// The backend server has not run the request.
-    NotRun,
-    /// The backend server may have run the request; the refusal is returned if the request is not
-    /// retried.
-    MayHaveRun(Refusal),
-}
-
 impl Dispatch {
     /// Tries backend servers until one begins to respond.
     ///
@@ -252,193 +234,6 @@
         }
     }
 
-    async fn attempt(&mut self, choice: Selection, last_event: Option<u64>) -> AttemptOutcome {
-        let key = (choice.backend.clone(), choice.incarnation);
-        let connection = self.entry.pool.acquire(key, choice.address).await;
-        let mut connection = match connection {
-            Ok(connection) => connection,
-            Err(error) => {
-                self.record_attempt(&choice, Outcome::Failed, "unreachable", &error);
-                self.excluded.push(choice.backend);
-                return AttemptOutcome::NotRun;
-            }
-        };
-        let request = match self.build_request(&choice, last_event) {
-            Ok(request) => request,
-            Err(error) => {
-                self.record_attempt(&choice, Outcome::Abandoned, "unsendable", &error);
-                self.excluded.push(choice.backend);
-                return AttemptOutcome::NotRun;
-            }
-        };
-        if !self.may_still_run_on(&choice) {
-            let detail = &choice.version;
-            self.record_attempt(&choice, Outcome::Abandoned, "version withdrawn", detail);
-            return AttemptOutcome::NotRun;
-        }
-        let guard = InFlightGuard::new(self, &choice);
-        let ticket = self.begin_ticket(&choice);
-        let sent_at = clock::now();
-        let response = tokio::time::timeout(self.head_timeout(), connection.send(request)).await;
-        guard.disarm();
-        match response {
-            Ok(Ok(response)) => {
-                let response = response.into_parts();
-                self.classify(choice, response, connection, sent_at, ticket)
-            }
-            Ok(Err(SendError::NotSent)) => {
-                // A pooled connection that was closed while idle is no sign of a failed backend
-                // server.
-                let outcome = if connection.reused {
-                    Outcome::Abandoned
-                } else {
-                    self.excluded.push(choice.backend.clone());
-                    Outcome::Failed
-                };
-                self.record_attempt(&choice, outcome, "not sent", &"the connection was closed");
-                AttemptOutcome::NotRun
-            }
-            Ok(Err(SendError::Broken(error))) => {
-                self.record_attempt(&choice, Outcome::Failed, "broken", &error);
-                self.record_break(&choice, sent_at);
-                self.end_ticket(ticket, Answer::Failed);
-                self.exclude_after_send(choice);
-                AttemptOutcome::MayHaveRun(Refusal::Failed)
-            }
-            Err(_) => {
-                // If the request's own deadline expired, the backend server is not to blame.
-                let expired = self.deadline <= clock::now();
-                let (outcome, answer) = if expired {
-                    (Outcome::Abandoned, ticket.good())
-                } else {
-                    (Outcome::Failed, Answer::Failed)
-                };
-                self.record_attempt(&choice, outcome, "no answer in time", &"silence");
-                self.end_ticket(ticket, answer);
-                self.exclude_after_send(choice);
-                AttemptOutcome::MayHaveRun(Refusal::TimedOut)
-            }
-        }
-    }
-
-    fn exclude_after_send(&mut self, choice: Selection) {
-        self.sent += 1;
-        self.excluded.push(choice.backend);
-    }
-
-    /// Returns the time limit for the head of the response.
-    fn head_timeout(&self) -> Duration {
-        let left = self.deadline.saturating_sub(clock::now());
-        let can_retry =
-            self.route.is_repeatable() && self.sent + 1 < self.route.max_attempts.max(1);
-        if !can_retry {
-            return left;
-        }
-        let timeout = if self.call.prompt.is_empty() {
-            (self.route.target_latency * RESPONSE_TIMEOUT_FACTOR).max(MIN_RESPONSE_TIMEOUT)
-        } else {
-            STREAM_START_TIMEOUT
-        };
-        left.min(timeout)
-    }
-
-    fn classify(
-        &mut self,
-        choice: Selection,
-        (head, body): (Parts, Incoming),
-        connection: PooledConnection,
-        sent_at: Timestamp,
-        mut ticket: Ticket,
-    ) -> AttemptOutcome {
-        let metadata = self.entry.dialect.response_metadata(&head);
-        // The response of another request decides nothing about this one, whatever it states.
-        if let Some(answered) = &metadata.request_id
-            && *answered != self.request
-        {
-            self.end_ticket(ticket, Answer::Failed);
-            return self.reject_foreign_response(choice, head.status);
-        }
-        let misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
-        // A misdirected request was answered by another backend server than the chosen one.
-        if metadata.leaving && !misdirected {
-            self.record_departure(&choice);
-        }
-        if metadata.declined || misdirected {
-            lock(&self.entry.servers).record_outcome(
-                clock::now(),
-                &self.service,
-                &choice.backend,
-                Outcome::Declined,
-                metadata.load,
-            );
-            self.log_attempt(&choice, "declined", &head.status);
-            self.excluded.push(choice.backend);
-            return AttemptOutcome::NotRun;
-        }
-        if metadata.request_id.is_none() {
-            self.end_ticket(ticket, Answer::Failed);
-            return self.reject_foreign_response(choice, head.status);
-        }
-        self.sent += 1;
-        ticket.note_head(head.status.is_server_error());
-        if let Some(load) = metadata.load {
-            let mut servers = lock(&self.entry.servers);
-            servers.record_load(clock::now(), &self.service, &choice.backend, load);
-        }
-        AttemptOutcome::Responded(Box::new(Exchange {
-            choice,
-            head,
-            metadata,
-            body,
-            connection,
-            sent_at,
-            ticket,
-        }))
-    }
-
-    /// Records a response that is not known to answer this request, which may run nevertheless.
-    fn reject_foreign_response(&mut self, choice: Selection, status: StatusCode) -> AttemptOutcome {
-        self.record_attempt(
-            &choice,
-            Outcome::Failed,
-            "answer to another request",
-            &status,
-        );
-        self.exclude_after_send(choice);
-        AttemptOutcome::MayHaveRun(Refusal::Failed)
-    }
-
-    /// Notes that a backend server has said that it leaves.
-    fn record_departure(&self, choice: &Selection) {
-        let mut servers = lock(&self.entry.servers);
-        if servers.record_departure(clock::now(), &choice.backend, choice.incarnation) {
-            log::info!(target: "route", request:% = self.request, backend:% = choice.backend,
-                born = choice.incarnation; "a backend server has said that it leaves");
-        }
-    }
-
-    fn build_request(
-        &self,
-        choice: &Selection,
-        last_event: Option<u64>,
-    ) -> Result<Request<Full<Bytes>>, hyper::http::Error> {
-        let mut headers = self.headers.clone();
-        let attempt = Attempt {
-            backend: &choice.backend,
-            remaining: Some(self.caller_deadline.saturating_sub(clock::now())),
-            organisation: self.organisation.as_ref(),
-            last_event,
-            priority: self.priority,
-        };
-        self.entry.dialect.rewrite_headers(&mut headers, &attempt);
-        let mut request = Request::builder()
-            .method(self.method.clone())
-            .uri(self.uri.clone())
-            .body(Full::new(self.body.clone()))?;
-        *request.headers_mut() = headers;
-        Ok(request)
-    }
-
     /// Reads a response to its end.
     ///
     /// # Errors
@@ -548,7 +343,12 @@
         self.log_attempt(choice, label, detail);
     }
 
-    fn log_attempt(&self, choice: &Selection, label: &'static str, detail: &dyn std::fmt::Display) {
+    pub(super) fn log_attempt(
+        &self,
+        choice: &Selection,
+        label: &'static str,
+        detail: &dyn std::fmt::Display,
+    ) {
         self.entry.metrics.record_attempt(label);
         if label != "answered" {
             log::info!(target: "attempt", request:% = self.request, backend:% = choice.backend,
@@ -572,35 +372,3 @@
 pub(super) fn target(uri: &Uri) -> &str {
     uri.path_and_query().map_or("", PathAndQuery::as_str)
 }
-
-/// Reports an attempt to the backend selection as abandoned if it is dropped in flight, because the
-/// caller disconnected.
-pub(super) struct InFlightGuard {
-    entry: Arc<Entry>,
-    service: ServiceName,
-    backend: Option<id::Backend>,
-}
-
-impl InFlightGuard {
-    pub(super) fn new(dispatch: &Dispatch, choice: &Selection) -> Self {
-        Self {
-            entry: dispatch.entry.clone(),
-            service: dispatch.service.clone(),
-            backend: Some(choice.backend.clone()),
-        }
-    }
-
-    pub(super) fn disarm(mut self) {
-        self.backend = None;
-    }
-}
-
-impl Drop for InFlightGuard {
-    fn drop(&mut self) {
-        if let Some(backend) = &self.backend {
-            let mut servers = lock(&self.entry.servers);
-            let now = clock::now();
-            servers.record_outcome(now, &self.service, backend, Outcome::Abandoned, None);
-        }
-    }
-}
--- a/crates/celerycove-gateway/src/entry/relay.rs
+++ b/crates/celerycove-gateway/src/entry/relay.rs
@@ -11,9 +11,10 @@
 use http_body_util::BodyExt;
 
 use super::{
+    attempt::InFlightGuard,
     chains::Chain,
     events::{Held, Splitter},
-    exchange::{Dispatch, Exchange, InFlightGuard},
+    exchange::{Dispatch, Exchange},
     outbox,
     response::keeps_alive,
     rollout::Ticket,
