feat(gateway): hedged requests

A request that may be repeated and has waited for longer than the 0.95 quantile of its class is sent to a second backend server that is warm, not suspect and not full. The first response is passed on; the other attempt is cancelled and its connection reset.

Only the first attempt of a request is hedged. A service with a running rollout has no extra attempts: a cancelled attempt is no evidence, so they would hide a slow version.

--- a/crates/celerycove-gateway/src/entry.rs
+++ b/crates/celerycove-gateway/src/entry.rs
@@ -6,6 +6,7 @@
 mod detour;
 mod events;
 mod exchange;
+mod hedge;
 mod hop;
 mod intake;
 mod outage;
@@ -80,6 +81,7 @@
     rollouts: rollout::Rollouts,
     /// Holds back first turns while a service is overloaded.
     intakes: Arc<intake::Intakes>,
+    hedging: hedge::State,
     /// Set once the entry is asked to stop.
     stop: OnceLock<stop::Plan>,
     /// Notified shortly before the process ends: requests that are still open get an answer then.
@@ -132,6 +134,7 @@
         turns: turns::Client::start(connections.clone(), metrics.clone()),
         connections: connections.clone(),
         intakes: intake::Intakes::start(metrics.clone()),
+        hedging: hedge::State::new(setup.max_extra_share),
         metrics,
         crashes: crashes::Crashes::default(),
         startup: startup::Startup::new(clock::now()),
@@ -199,8 +202,11 @@
         self.entry.turns.flush(stop::EXIT_MARGIN / 2).await;
     }
 
-    /// Opens connections to the control instances in the new settings.
+    /// Opens connections to the control instances in the new settings, and applies the new limit on extra
+    /// attempts.
     pub fn reload(&self, setup: &Setup) {
+        let max_share = setup.max_extra_share.unwrap_or(0.0);
+        lock(&self.entry.hedging.hedges).set_max_share(max_share);
         self.entry.connect(setup.seed_processes());
     }
 }
@@ -269,7 +275,9 @@
             servers.update(now, &service.name, registrations);
         }
         let config = &view.fleet.config;
-        servers.retain(|name| config.services.iter().any(|s| s.name.as_ref() == name));
+        let is_known = |name: &str| config.services.iter().any(|s| s.name.as_ref() == name);
+        servers.retain(is_known);
+        lock(&self.hedging.hedges).retain(is_known);
     }
 
     /// Records heartbeats that changed nothing else.
--- a/crates/celerycove-gateway/src/entry/attempt.rs
+++ b/crates/celerycove-gateway/src/entry/attempt.rs
@@ -62,10 +62,7 @@
         let key = (choice.backend.clone(), choice.incarnation);
         let connection = self.entry.pool.acquire(key, choice.address).await;
         match self.send(choice, connection, last_event, 0) {
-            Ok(mut attempt) => {
-                let reply = (&mut attempt.reply).await;
-                self.finish(attempt, reply)
-            }
+            Ok(attempt) => self.first_answer(attempt, last_event).await,
             Err(outcome) => outcome,
         }
     }
--- a/crates/celerycove-gateway/src/entry/exchange.rs
+++ b/crates/celerycove-gateway/src/entry/exchange.rs
@@ -9,7 +9,10 @@
 };
 use celerycove_quarantine::digest::{Digests, Subject};
 use celerycove_rollout::{guide::Answer, order::Version};
-use celerycove_route::direct::{Outcome, Run, Selection};
+use celerycove_route::{
+    direct::{Outcome, Run, Selection},
+    hedge::Permit,
+};
 use celerycove_types::{Timestamp, id};
 use hyper::{
     HeaderMap, Method, Uri,
@@ -80,6 +83,8 @@
     pub(super) digests: Option<Digests>,
     /// Whether a quarantined request is tried, on one backend server only.
     pub(super) is_trial: bool,
+    /// Allows one extra attempt.
+    pub(super) hedge_permit: Permit,
     /// The version on which it failed last.
     pub(super) failed_on: Option<Version>,
 }
@@ -173,7 +178,7 @@
     }
 
     /// Checks before each attempt but the first that the request has not been quarantined meanwhile.
-    fn check_quarantine(&mut self) -> Result<(), Refusal> {
+    pub(super) fn check_quarantine(&mut self) -> Result<(), Refusal> {
         if self.tries == 0 || self.is_trial || !self.entry.crashes.is_active() {
             return Ok(());
         }
@@ -357,7 +362,7 @@
         }
     }
 
-    fn log_choice(&self, choice: &Selection) {
+    pub(super) fn log_choice(&self, choice: &Selection) {
         log::info!(target: "route", request:% = self.request, backend:% = choice.backend,
             service:% = self.service, version = self.index.config().version,
             candidates = choice.candidates, cached = choice.cached_tokens,
--- a/crates/celerycove-gateway/src/entry/intake.rs
+++ b/crates/celerycove-gateway/src/entry/intake.rs
@@ -173,6 +173,12 @@
         lock(&self.state).intakes.get(service).map(Intake::status)
     }
 
+    /// Whether a limit on programs in progress is in force.
+    pub(super) fn is_limited(&self, service: &ServiceName) -> bool {
+        let status = self.status(service);
+        status.is_some_and(|status| status.limit.is_some())
+    }
+
     fn step(&self, service: &ServiceName, event: Event) {
         lock(&self.state).step(service, event);
     }
--- a/crates/celerycove-gateway/src/entry/rollout.rs
+++ b/crates/celerycove-gateway/src/entry/rollout.rs
@@ -17,8 +17,10 @@
     order::{Revision, Version},
     report,
 };
-use celerycove_route::direct::{Request as RouteRequest, Selection, Versions, affinity_hash};
-use celerycove_types::{Map, Timestamp};
+use celerycove_route::direct::{
+    Assessment, Request as RouteRequest, Selection, Versions, affinity_hash,
+};
+use celerycove_types::{Map, Timestamp, id};
 
 use super::{Entry, exchange::Dispatch};
 use crate::{
@@ -329,6 +331,13 @@
         !rules.excluded.contains(version) || (*rules.rollout.to == *version && is_new_allowed())
     }
 
+    /// Whether a rollout of the service is running.
+    pub(super) fn is_running(&self, service: &str) -> bool {
+        let state = lock(&self.state);
+        let rules = state.services.get(service);
+        rules.is_some_and(|rules| rules.rollout.stage == Stage::Running)
+    }
+
     fn reports(&self, now: Timestamp, metrics: &Metrics) -> Vec<Report> {
         let mut state = lock(&self.state);
         let services = state.services.iter_mut();
@@ -431,6 +440,23 @@
         })
     }
 
+    /// Returns the backend server that [`choose_backend`](Self::choose_backend) would select, without
+    /// counting the request.
+    pub(super) fn forecast_backend(&self, now: Timestamp) -> Option<(id::Backend, Assessment)> {
+        let rollouts = &self.entry.rollouts;
+        let hash = self.program_hash();
+        let (first, _) = rollouts.allowed(now, &self.service, hash, self.failed_on.as_ref());
+        let request = RouteRequest {
+            affinity: self.affinity,
+            prompt: &self.call.prompt,
+            excluded: &self.excluded,
+            versions: first.versions(),
+        };
+        let candidates = lock(&self.entry.servers).forecast(now, &self.service, &request);
+        let best = candidates.into_iter().next()?;
+        Some((best.backend, best.assessment.ok()?))
+    }
+
     /// Decides on the side of a rollout, equally at all entries and for all requests of a program.
     fn program_hash(&self) -> u64 {
         let program = self.call.program.as_deref();
@@ -457,7 +483,7 @@
         drop(state);
         Ticket {
             entry: self.entry.clone(),
-            is_warm: sent.revision.is_some() && self.entry.is_warm(now, choice),
+            is_warm: sent.revision.is_some() && self.entry.is_warm(now, &choice.backend),
             sent,
             sent_at: now,
             first_byte_at: None,
@@ -481,9 +507,9 @@
 
 impl Entry {
     /// Whether a backend server is neither cold nor has just started.
-    fn is_warm(&self, now: Timestamp, choice: &Selection) -> bool {
+    pub(super) fn is_warm(&self, now: Timestamp, backend: &id::Backend) -> bool {
         let registry = self.fleet_state.registry();
-        registry.get(&choice.backend).is_some_and(|known| {
+        registry.get(backend).is_some_and(|known| {
             let age = clock::wall_millis().saturating_sub(known.heartbeat.started_at_ms);
             now >= known.sent_at + known.heartbeat.cold_remaining && age >= clock::millis(WARM_UP)
         })
--- a/crates/celerycove-gateway/src/entry/serve.rs
+++ b/crates/celerycove-gateway/src/entry/serve.rs
@@ -9,7 +9,7 @@
 };
 use celerycove_log::limit;
 use celerycove_quarantine::digest::Subject;
-use celerycove_route::direct::affinity_hash;
+use celerycove_route::{direct::affinity_hash, hedge::Permit};
 use celerycove_turn::{Begin, Outcome};
 use celerycove_types::{Timestamp, id};
 use hyper::{
@@ -315,6 +315,7 @@
             tries: 0,
             digests: None,
             is_trial: false,
+            hedge_permit: Permit::default(),
             failed_on: None,
         })
     }
--- a/crates/celerycove-gateway/src/metrics.rs
+++ b/crates/celerycove-gateway/src/metrics.rs
@@ -53,6 +53,8 @@
     admission_waiting: Gauge<u64>,
     admission_refusals: Counter<u64>,
     admission_wait_seconds: Histogram<f64>,
+    hedges: Counter<u64>,
+    hedge_work: Counter<u64>,
     log_lines_dropped: Gauge<u64>,
     log_output: std::sync::OnceLock<Arc<celerycove_log::Counters>>,
     memory_bytes: Gauge<u64>,
@@ -94,6 +96,8 @@
             admission_wait_seconds: meter
                 .f64_histogram("celerycove_admission_wait_seconds")
                 .build(),
+            hedges: meter.u64_counter("celerycove_hedges").build(),
+            hedge_work: meter.u64_counter("celerycove_hedge_work").build(),
             log_lines_dropped: meter.u64_gauge("celerycove_log_lines_dropped").build(),
             memory_bytes: meter.u64_gauge("celerycove_memory_bytes").build(),
             memory_limit_bytes: meter.u64_gauge("celerycove_memory_limit_bytes").build(),
@@ -219,6 +223,17 @@
             .record(waited.as_secs_f64(), &[]);
     }
 
+    /// Counts an extra attempt that ended, or that was due and withheld, by what came of it.
+    pub fn record_hedge(&self, outcome: &'static str) {
+        self.hedges.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Counts the work of an extra attempt: tokens of a prompt, or microseconds of a call.
+    pub fn record_hedge_work(&self, is_prompt: bool, work: u64) {
+        let unit = if is_prompt { "tokens" } else { "microseconds" };
+        self.hedge_work.add(work, &[KeyValue::new("unit", unit)]);
+    }
+
     fn encode(&self) -> Result<Vec<u8>, Error> {
         if let Some(output) = self.log_output.get() {
             self.log_lines_dropped.record(output.counts().1, &[]);
--- a/crates/celerycove-gateway/src/setup.rs
+++ b/crates/celerycove-gateway/src/setup.rs
@@ -101,6 +101,8 @@
     pub bounds: TimeLimits,
     /// Bounds on rollouts of service versions.
     pub rollout: rollout::Options,
+    /// The largest share of extra work for hedged requests; zero or `None` switches them off.
+    pub max_extra_share: Option<f64>,
     /// What the process may hold in memory.
     pub memory: memory::Budget,
 }
--- a/crates/celerycove-gateway/tests/callers/fleet.rs
+++ b/crates/celerycove-gateway/tests/callers/fleet.rs
@@ -213,6 +213,7 @@
             bootstrap: true,
             data_dir: data.map(|name| folder.join(name)),
             tolerated_failures: 1,
+            max_extra_share: None,
             rollout: DEFAULT_ROLLOUT,
             bounds: TimeLimits {
                 grace_period,
--- a/crates/celerycove-gateway/tests/crashes/deployment.rs
+++ b/crates/celerycove-gateway/tests/crashes/deployment.rs
@@ -123,6 +123,7 @@
         data_dir,
         memory: Budget::new(DEFAULT_LIMIT_BYTES, role).expect("a budget"),
         tolerated_failures: 1,
+        max_extra_share: None,
         rollout: DEFAULT_ROLLOUT,
         bounds: TimeLimits {
             grace_period: Duration::from_secs(8),
--- a/crates/celerycove-gateway/tests/rollouts/deployment.rs
+++ b/crates/celerycove-gateway/tests/rollouts/deployment.rs
@@ -335,6 +335,7 @@
             bootstrap,
             data_dir: (role == Role::Control).then_some(data_dir),
             tolerated_failures: 1,
+            max_extra_share: None,
             rollout: DEFAULT_ROLLOUT,
             bounds: TimeLimits {
                 grace_period: Duration::from_secs(8),
--- a/crates/celerycove-gateway/tests/stores/deployment.rs
+++ b/crates/celerycove-gateway/tests/stores/deployment.rs
@@ -165,6 +165,7 @@
             bootstrap,
             data_dir: Some(data_dir),
             tolerated_failures: 1,
+            max_extra_share: None,
             rollout: DEFAULT_ROLLOUT,
             bounds: TimeLimits {
                 grace_period: Duration::from_secs(8),
