test(gateway): hedged requests on real sockets

An existing stand-in now also checks that a connection on which it stays silent carries no second request.

--- a/crates/celerycove-gateway/tests/callers.rs
+++ b/crates/celerycove-gateway/tests/callers.rs
@@ -9,6 +9,8 @@
 mod dialect;
 #[path = "callers/fleet.rs"]
 mod fleet;
+#[path = "callers/hedge.rs"]
+mod hedge;
 #[path = "callers/misbehaviour.rs"]
 mod misbehaviour;
 
--- a/crates/celerycove-gateway/tests/callers/backend.rs
+++ b/crates/celerycove-gateway/tests/callers/backend.rs
@@ -22,6 +22,8 @@
     CloseAfterReading,
     /// Reads the request and sends nothing until the connection is closed.
     Silence,
+    /// Sends a whole plain response after this many milliseconds.
+    Late(u64),
     /// Closes the connection in the middle of the response body.
     TruncateBody,
     /// Responds with the identifier of another request.
@@ -76,6 +78,7 @@
     failures: Failures,
     executed: Mutex<Vec<ExecutedRequest>>,
     open_streams: AtomicUsize,
+    silent: AtomicUsize,
 }
 
 pub struct Backend {
@@ -126,6 +129,11 @@
         self.state.executed.lock().expect("a lock").clear();
     }
 
+    /// The number of open connections on which it leaves a request without a response.
+    pub fn silent_connections(&self) -> usize {
+        self.state.silent.load(SeqCst)
+    }
+
     /// The number of streams that it is sending.
     pub fn open_streams(&self) -> usize {
         self.state.open_streams.load(SeqCst)
@@ -194,7 +202,10 @@
         }
         if failure == Some(Failure::Silence) {
             let mut byte = [0];
-            let _ = stream.read(&mut byte).await;
+            state.silent.fetch_add(1, SeqCst);
+            let read = stream.read(&mut byte).await;
+            state.silent.fetch_sub(1, SeqCst);
+            assert!(!matches!(read, Ok(1..)), "the connection is used again");
             return;
         }
         if let Some(Failure::Unframed(body) | Failure::ResetUnframed(body)) = failure {
@@ -249,6 +260,9 @@
 ) -> Option<()> {
     let id = &request.id;
     let response = format!("HTTP/1.1 200 OK\r\nid: {id}\r\ncontent-length: 6\r\n\r\nanswer");
+    if let Some(Failure::Late(delay_ms)) = failure {
+        tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+    }
     let (text, keep_open) = match failure {
         Some(Failure::CloseAfterReading) => (String::new(), false),
         Some(Failure::TruncateBody) => (response[..response.len() - 3].to_owned(), false),
--- a/crates/celerycove-gateway/tests/callers/fleet.rs
+++ b/crates/celerycove-gateway/tests/callers/fleet.rs
@@ -148,6 +148,7 @@
     control_address: SocketAddr,
     _stop: watch::Sender<bool>,
     entry: Mutex<Option<entry::Running>>,
+    entry_setup: Setup,
 }
 
 /// A response, read up to its end or to the point where the connection failed.
@@ -236,6 +237,7 @@
         let metrics = Metrics::new().expect("metrics");
         let entry = setup(Role::Entry, None);
         let account = Account::new(entry.memory);
+        let entry_setup = entry.clone();
         let entry = entry::start(entry, Arc::new(TestDialect), metrics, account)
             .await
             .expect("an entry");
@@ -248,6 +250,7 @@
             control_address: address(5),
             _stop: stop,
             entry: Mutex::new(Some(entry)),
+            entry_setup,
         };
         deployment.wait_until_serving().await;
         deployment
@@ -272,6 +275,16 @@
         self.spare.clear_executed();
     }
 
+    /// Reloads the entry's settings with another limit on extra attempts.
+    pub fn set_extra_share(&self, share: f64) {
+        let setup = Setup {
+            max_extra_share: Some(share),
+            ..self.entry_setup.clone()
+        };
+        let entry = self.entry.lock().expect("a lock");
+        entry.as_ref().expect("a running entry").reload(&setup);
+    }
+
     /// Asks the entry to stop; the task ends when it would exit.
     pub fn stop_entry(&self) -> tokio::task::JoinHandle<()> {
         let entry = self.entry.lock().expect("a lock").take();
