--- a/crates/celerycove-gateway/tests/callers/backend.rs
+++ b/crates/celerycove-gateway/tests/callers/backend.rs
@@ -22,7 +22,7 @@
     CloseAfterReading,
     /// Reads the request and sends nothing until the connection is closed.
     Silence,
-    /// Sends a whole plain response after this many milliseconds.
+    /// Sends a whole response after this many milliseconds.
     Late(u64),
     /// Closes the connection in the middle of the response body.
     TruncateBody,
@@ -238,6 +238,9 @@
             }
             return;
         }
+        if let Some(Failure::Late(delay_ms)) = failure {
+            tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+        }
         let keep_open = if request.path.starts_with("/plain") || request.path.starts_with("/once") {
             respond(&mut stream, &request, failure).await
         } else {
@@ -260,9 +263,6 @@
 ) -> Option<()> {
     let id = &request.id;
     let response = format!("HTTP/1.1 200 OK\r\nid: {id}\r\ncontent-length: 6\r\n\r\nanswer");
-    if let Some(Failure::Late(delay_ms)) = failure {
-        tokio::time::sleep(Duration::from_millis(delay_ms)).await;
-    }
     let (text, keep_open) = match failure {
         Some(Failure::CloseAfterReading) => (String::new(), false),
         Some(Failure::TruncateBody) => (response[..response.len() - 3].to_owned(), false),
--- a/crates/celerycove-gateway/tests/callers/hedge.rs
+++ b/crates/celerycove-gateway/tests/callers/hedge.rs
@@ -12,6 +12,8 @@
 const USUAL_MS: u64 = 20;
 /// Far more than the usual time, and less than the time after which a silent server's request is retried.
 const SOON: Duration = Duration::from_millis(1_500);
+/// Less than the time after which a silent stream is requested elsewhere.
+const AT_ONCE: Duration = Duration::from_secs(1);
 /// After this time the latest attempts no longer show whether all servers are slow.
 const FORGOTTEN: Duration = Duration::from_millis(1_100);
 
@@ -65,6 +67,23 @@
     });
 }
 
+/// Guards against a resumable stream that waits for its slow server, and against events of both servers.
+#[test]
+fn a_resumable_stream_comes_from_the_server_that_answers_first() {
+    fleet::run(async |deployment: &Deployment| {
+        learn(deployment, "/resumable/x").await;
+        deployment.set_failures([Failure::Silence]);
+        let reply = deployment.stream("late", "/resumable/x");
+        let reply = timeout(AT_ONCE, reply).await.expect("a stream at once");
+        assert!(reply.complete);
+        assert_eq!(reply.events(), ["1:one", "2:two", "3:three"]);
+        let executed = [&deployment.backend, &deployment.spare].map(|b| b.executed().len());
+        assert_eq!(executed, [1, 1]);
+        sleep(Duration::from_millis(200)).await;
+        assert_eq!(silent_connections(deployment), 0);
+    });
+}
+
 /// Guards against a first attempt that is given up because the extra one fails.
 #[test]
 fn the_first_attempt_answers_if_the_extra_one_fails() {
