--- a/crates/celerycove-route/tests/hedge.rs
+++ b/crates/celerycove-route/tests/hedge.rs
@@ -377,3 +377,23 @@
     hedges.record_attempt(now, &attempt("zilina"), ms(20), 0, false);
     assert_eq!(start(&mut hedges, now, "zilina"), None);
 }
+
+/// Guards against prompts that are charged by their time, or whose extra work is paid by calls.
+#[test]
+fn prompts_are_charged_by_their_tokens_and_apart_from_calls() {
+    let now = ms(10_000);
+    let mut hedges = learned(0.1, now);
+    let mut prompt = attempt("zilina");
+    prompt.class.size = Size::new(1_000, 100);
+    for _ in 0..100 {
+        hedges.record_attempt(now, &prompt, ms(20), 10, false);
+    }
+    let mut start = |work| hedges.start(now, &mut Permit::default(), &prompt, work, false);
+    assert_eq!(start(101).err(), Some(Refusal::Limit));
+    let charge = start(60).expect("an extra attempt");
+    assert_eq!(start(41).err(), Some(Refusal::Limit));
+    // A cancelled attempt may have read the whole prompt.
+    assert_eq!(hedges.finish(now, charge, ms(1)), 60);
+    let again = hedges.start(now, &mut Permit::default(), &prompt, 41, false);
+    assert_eq!(again.err(), Some(Refusal::Limit));
+}
