--- a/crates/celerycove-gateway/src/entry/intake.rs
+++ b/crates/celerycove-gateway/src/entry/intake.rs
@@ -130,6 +130,9 @@
         self: &Arc<Self>,
         dispatch: &Dispatch,
     ) -> Result<Option<Pass>, Refusal> {
+        if !dispatch.entry.setup.holds_first_turns {
+            return Ok(None);
+        }
         let call = &dispatch.call;
         let Some(program) = call.program.clone().filter(|_| !call.prompt.is_empty()) else {
             return Ok(None);
@@ -173,6 +176,12 @@
         lock(&self.state).intakes.get(service).map(Intake::status)
     }
 
+    /// Whether a limit on programs in progress is in force.
+    pub(super) fn is_limited(&self, service: &ServiceName) -> bool {
+        let status = self.status(service);
+        status.is_some_and(|status| status.limit.is_some())
+    }
+
     fn step(&self, service: &ServiceName, event: Event) {
         lock(&self.state).step(service, event);
     }
--- a/crates/celerycove-gateway/src/setup.rs
+++ b/crates/celerycove-gateway/src/setup.rs
@@ -101,6 +101,10 @@
     pub bounds: TimeLimits,
     /// Bounds on rollouts of service versions.
     pub rollout: rollout::Options,
+    /// Whether first turns of new programs wait at the entry while their service is overloaded.
+    pub holds_first_turns: bool,
+    /// The largest share of extra work for hedged requests; zero or `None` switches them off.
+    pub max_extra_share: Option<f64>,
     /// What the process may hold in memory.
     pub memory: memory::Budget,
 }
