--- a/crates/celerycove-gateway/tests/callers/hedge.rs
+++ b/crates/celerycove-gateway/tests/callers/hedge.rs
@@ -132,3 +132,18 @@
         assert_single(deployment, "/plain/x").await;
     });
 }
+
+/// Guards against extra work from an entry that stops.
+#[test]
+fn an_entry_that_stops_starts_no_extra_attempt() {
+    fleet::run(async |deployment: &Deployment| {
+        learn(deployment, "/plain/x").await;
+        let stop = async {
+            while deployment.executed_requests().is_empty() {
+                sleep(Duration::from_millis(1)).await;
+            }
+            drop(deployment.stop_entry());
+        };
+        tokio::join!(assert_single(deployment, "/plain/x"), stop);
+    });
+}
