--- a/crates/celerycove-gateway/src/control.rs
+++ b/crates/celerycove-gateway/src/control.rs
@@ -8,6 +8,7 @@
 mod bootstrap;
 mod crashes;
 mod maintenance;
+mod rollout;
 mod standstill;
 
 pub(crate) use maintenance::member_candidates;
@@ -97,6 +98,7 @@
     maintenance: Mutex<maintenance::State>,
     bootstrap: Mutex<bootstrap::Bootstrap>,
     standstill: Mutex<standstill::Standstill>,
+    rollouts: Mutex<rollout::Rollouts>,
     /// Limits the lines about requests without room for their bodies.
     no_room_lines: Mutex<Limit>,
 }
@@ -119,6 +121,7 @@
         .control
         .ok_or(Error::Missing("control address"))?;
     let me = setup.process();
+    setup.record_own_first_start();
     let local_peer = Peer {
         process: me.clone(),
         role: Role::Control,
@@ -126,9 +129,10 @@
         data_centre: setup.data_centre.clone(),
         has_disk: setup.data_dir.is_some(),
         may_bootstrap: setup.may_bootstrap_log(),
+        has_empty_disk: setup.has_empty_disk(),
     };
     let connections = Connections::new(local_peer.clone(), account.clone());
-    let may_bootstrap = local_peer.may_bootstrap;
+    let has_empty_disk = local_peer.has_empty_disk;
     let control = Arc::new_cyclic(|weak_self| Control {
         weak_self: weak_self.clone(),
         local_peer,
@@ -146,13 +150,14 @@
         relayed_changes: Mutex::default(),
         crashes: Mutex::default(),
         maintenance: Mutex::default(),
-        bootstrap: Mutex::new(bootstrap::Bootstrap::new(&setup)),
+        bootstrap: Mutex::default(),
         standstill: Mutex::default(),
+        rollouts: Mutex::default(),
         no_room_lines: Mutex::new(Limit::new(NO_ROOM_LINES)),
         setup,
     });
     connections.set_handler(control.clone());
-    if !may_bootstrap {
+    if !has_empty_disk {
         control.open_log(None)?;
     }
     let internal = control.setup.internal_address()?;
@@ -160,13 +165,15 @@
     control.connect(&control.setup.seed_processes());
     let listener = http::bind(address)?;
     let server = tokio::spawn(http::serve(listener, control.clone(), stop));
+    let rollouts = control.clone();
+    tokio::spawn(async move { rollouts.run_rollouts().await });
     tokio::spawn(async move { control.run_maintenance().await });
     Ok(server)
 }
 
 impl Control {
-    /// Opens the log, and bootstraps it if `initial_members` contains this process. Does nothing
-    /// without a disk.
+    /// Opens the log, and bootstraps it if `initial_members` contains this process and it may vote in a
+    /// new log. Does nothing without a disk.
     fn open_log(
         self: &Arc<Self>,
         initial_members: Option<BTreeSet<id::Process>>,
@@ -180,7 +187,8 @@
         let control = self.clone();
         let replica = Replica::open(
             me.clone(),
-            initial_members.filter(|members| members.contains(&me)),
+            initial_members
+                .filter(|members| members.contains(&me) && self.setup.may_vote_in_new_log()),
             Box::new(move || Ok(Box::new(Store::new(data.clone())?))),
             self.connections.clone(),
             options(SNAPSHOT_AFTER_ENTRIES),
@@ -188,6 +196,7 @@
         )?;
         // Set only once: at the start, or later when the initial members are known.
         let _ = self.replica.set(replica);
+        self.setup.clear_first_start();
         Ok(())
     }
 
@@ -382,6 +391,9 @@
         let Some(replica) = self.replica() else {
             return Reply::NotLeader(None);
         };
+        if self.leader_term().is_some() && self.repeats_rolled_back(&command) {
+            return Reply::Repeated;
+        }
         match replica
             .propose(LogCommand::Fleet(command), COMMIT_TIMEOUT)
             .await
@@ -565,8 +577,14 @@
             Frame::Evidence(reports) => self.forward_reports(peer, reports),
             Frame::Crashes(evidence) => self.merge_crashes(peer, *evidence),
             Frame::InitialMembers(members) => self.bootstrap_log(&members),
+            Frame::FirstStart => self.record_first_start(),
             Frame::Demand(counts) => lock(&self.demand).record(clock::now(), peer, counts),
-            Frame::Hello(_) | Frame::Ping | Frame::Reply(..) | Frame::TotalDemand(..) => {}
+            Frame::RolloutReports(reports) => self.merge_rollout_reports(peer, &reports),
+            Frame::Hello(_)
+            | Frame::Ping
+            | Frame::Reply(..)
+            | Frame::TotalDemand(..)
+            | Frame::RolloutLeases(..) => {}
         }
     }
 
--- a/crates/celerycove-gateway/src/entry.rs
+++ b/crates/celerycove-gateway/src/entry.rs
@@ -1,11 +1,14 @@
 //! An entry instance: a proxy that forwards callers' requests to backend servers.
 
+mod attempt;
 mod chains;
 mod crashes;
 mod detour;
 mod events;
 mod exchange;
+mod hedge;
 mod hop;
+mod intake;
 mod outage;
 mod outbox;
 mod pool;
@@ -14,11 +17,13 @@
 mod refuse;
 mod relay;
 mod response;
+mod rollout;
 mod serve;
 mod socket;
 mod startup;
 mod stop;
 mod turns;
+mod urgency;
 
 use std::{
     collections::BTreeMap,
@@ -42,7 +47,7 @@
     http::{self, Body},
     link::{self, Connections, Handler, Sender, lock},
     memory::Account,
-    message::{Frame, Peer, RelayedHeartbeat, UNNUMBERED, Update},
+    message::{Frame, Peer, RelayedHeartbeat, Update},
     metrics::Metrics,
     setup::Role,
 };
@@ -73,6 +78,10 @@
     metrics: Arc<Metrics>,
     crashes: crashes::Crashes,
     startup: startup::Startup,
+    rollouts: rollout::Rollouts,
+    /// Holds back first turns while a service is overloaded.
+    intakes: Arc<intake::Intakes>,
+    hedging: hedge::State,
     /// Set once the entry is asked to stop.
     stop: OnceLock<stop::Plan>,
     /// Notified shortly before the process ends: requests that are still open get an answer then.
@@ -113,6 +122,7 @@
         data_centre: setup.data_centre.clone(),
         has_disk: false,
         may_bootstrap: false,
+        has_empty_disk: false,
     };
     let connections = Connections::new(local_peer, account.clone());
     let entry = Arc::new(Entry {
@@ -124,9 +134,12 @@
         pool: Arc::default(),
         turns: turns::Client::start(connections.clone(), metrics.clone()),
         connections: connections.clone(),
+        intakes: intake::Intakes::start(metrics.clone()),
+        hedging: hedge::State::new(setup.max_extra_share),
         metrics,
         crashes: crashes::Crashes::default(),
         startup: startup::Startup::new(clock::now()),
+        rollouts: rollout::Rollouts::default(),
         stop: OnceLock::new(),
         grace_ended: Notify::new(),
         recent_programs: Mutex::default(),
@@ -155,6 +168,8 @@
     tokio::spawn(async move { reporting.send_reports().await });
     let counting = entry.clone();
     tokio::spawn(async move { counting.send_demand().await });
+    let rollouts = entry.clone();
+    tokio::spawn(async move { rollouts.send_rollout_reports().await });
     let crashes = entry.clone();
     tokio::spawn(async move { crashes.maintain_crashes().await });
     Ok(Running {
@@ -172,6 +187,7 @@
         let grace_period = self.entry.setup.bounds.grace_period;
         let plan = stop::Plan::new(clock::now(), grace_period);
         let plan = self.entry.stop.get_or_init(|| plan);
+        self.entry.intakes.stop();
         tokio::time::sleep(plan.until_late(clock::now())).await;
         // The receiver is gone only if the server has already ended.
         let _ = self.stop.send(true);
@@ -187,8 +203,11 @@
         self.entry.turns.flush(stop::EXIT_MARGIN / 2).await;
     }
 
-    /// Opens connections to the control instances in the new settings.
+    /// Opens connections to the control instances in the new settings, and applies the new limit on extra
+    /// attempts.
     pub fn reload(&self, setup: &Setup) {
+        let max_share = setup.max_extra_share.unwrap_or(0.0);
+        lock(&self.entry.hedging.hedges).set_max_share(max_share);
         self.entry.connect(setup.seed_processes());
     }
 }
@@ -207,6 +226,8 @@
         if changes.view
             && let Some(view) = self.fleet_state.view()
         {
+            self.rollouts
+                .follow(clock::now(), &view.fleet, &self.metrics);
             let config = &view.fleet.config;
             self.rate_limiter
                 .configure(config, view.fleet.entries.len());
@@ -217,6 +238,7 @@
             {
                 self.index.store(Some(Arc::new(Index::new(config.clone()))));
                 self.startup.set_configured();
+                self.intakes.configure(config);
             }
         }
         if changes.view || !changes.beats.is_empty() {
@@ -254,7 +276,9 @@
             servers.update(now, &service.name, registrations);
         }
         let config = &view.fleet.config;
-        servers.retain(|name| config.services.iter().any(|s| s.name.as_ref() == name));
+        let is_known = |name: &str| config.services.iter().any(|s| s.name.as_ref() == name);
+        servers.retain(is_known);
+        lock(&self.hedging.hedges).retain(is_known);
     }
 
     /// Records heartbeats that changed nothing else.
@@ -295,6 +319,7 @@
             },
             cold_rate: self.cold_rate(service.cold_rate, &heartbeat.data_centre, entries),
             cache_tokens: service.cache_tokens,
+            version: heartbeat.version.clone(),
         }
     }
 
@@ -390,13 +415,12 @@
     fn receive(&self, _peer: &id::Process, frame: Frame, sender: &Sender) {
         match frame {
             Frame::Update(update) => {
-                let number = update.sequence;
+                let (number, index) = (update.sequence, update.index);
                 if self.apply_update(*update) {
                     sender.send(&Frame::RequestView);
                 }
-                if number != UNNUMBERED {
-                    sender.send(&Frame::Acknowledge(number));
-                }
+                self.rollouts.acknowledge(index, number, sender);
+                self.acknowledge_due();
             }
             Frame::Evidence(reports) => {
                 let now = clock::now();
@@ -409,6 +433,9 @@
             Frame::TotalDemand(data_centre, total) => {
                 lock(&self.servers).merge_demand(clock::now(), data_centre, total);
             }
+            Frame::RolloutLeases(term, leases) => {
+                self.rollouts.accept(clock::now(), term, &leases);
+            }
             _ => {}
         }
     }
--- a/crates/celerycove-gateway/src/entry/relay.rs
+++ b/crates/celerycove-gateway/src/entry/relay.rs
@@ -4,17 +4,20 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
-use celerycove_route::direct::Outcome;
+use celerycove_rollout::guide::Answer;
+use celerycove_route::direct::{Outcome, Run};
 use celerycove_turn::{End, Keep};
 use celerycove_types::{Timestamp, id};
 use http_body_util::BodyExt;
 
 use super::{
+    attempt::InFlightGuard,
     chains::Chain,
     events::{Held, Splitter},
-    exchange::{Dispatch, Exchange, InFlightGuard},
+    exchange::{Dispatch, Exchange},
     outbox,
     response::keeps_alive,
+    rollout::Ticket,
     turns::Client as TurnClient,
 };
 use crate::{
@@ -95,6 +98,43 @@
     pub(super) first_byte_at: Option<Timestamp>,
 }
 
+/// Gap from which a caller that reads slowly holds up the stream, so that its times say little about
+/// the engine.
+const MAX_HOLD_UP: Duration = Duration::from_millis(5);
+
+/// When the events of one backend server's stream arrived.
+struct Pace {
+    sent_at: Timestamp,
+    first_and_last: Option<(Timestamp, Timestamp)>,
+    /// Whether the times say little about the engine: it resumed the stream of another one, or the
+    /// caller held up the stream.
+    is_unsuited: bool,
+}
+
+impl Pace {
+    fn new(sent_at: Timestamp, is_resumed: bool) -> Self {
+        Self {
+            sent_at,
+            first_and_last: None,
+            is_unsuited: is_resumed,
+        }
+    }
+
+    fn record_events(&mut self, received_at: Timestamp, forwarded_at: Timestamp) {
+        let (first, _) = self.first_and_last.unwrap_or((received_at, received_at));
+        self.first_and_last = Some((first, received_at));
+        self.is_unsuited |= forwarded_at.saturating_sub(received_at) >= MAX_HOLD_UP;
+    }
+
+    /// Returns the times from sending the request to the first and to the last event, if they are
+    /// suited.
+    fn times(&self) -> Option<(Duration, Duration)> {
+        let (first, last) = self.first_and_last.filter(|_| !self.is_unsuited)?;
+        let since_sent = |at: Timestamp| at.saturating_sub(self.sent_at);
+        Some((since_sent(first), since_sent(last)))
+    }
+}
+
 /// How reading one backend server's stream ended. The variant names appear in the log and in
 /// errors.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -109,6 +149,18 @@
     TimedOut,
 }
 
+impl Stop {
+    /// Returns what the stream says about the version that it came from.
+    fn answer(self, has_data: bool, ticket: &mut Ticket) -> Answer {
+        match self {
+            Self::Whole | Self::TimedOut | Self::CallerLeft if has_data => ticket.good(),
+            Self::Whole | Self::TimedOut => ticket.good_without_data(),
+            Self::Broken(NO_ROOM) | Self::CallerLeft => Answer::Abandoned,
+            Self::Broken(_) => Answer::Failed,
+        }
+    }
+}
+
 impl Dispatch {
     /// Logs that long events of other streams take the memory, and returns how the stream ends.
     fn no_room_for_events(&self) -> Stop {
@@ -146,6 +198,10 @@
                 .ok()
                 .filter(|exchange| exchange.head.status.is_success());
         };
+        if stop == Stop::Whole {
+            let generated = self.event_count * self.event_tokens;
+            self.dispatch.finish_turn(generated);
+        }
         let stop = match stop {
             Stop::Whole => self.store_turn(&sender).await,
             stop => stop,
@@ -167,10 +223,13 @@
             mut body,
             connection,
             sent_at,
+            mut ticket,
         } = exchange;
         let guard = InFlightGuard::new(&self.dispatch, &choice);
         let mut splitter = Splitter::new(self.dispatch.entry.connections.account());
         let mut last_event_at = clock::now();
+        let mut has_data = false;
+        let mut pace = Pace::new(sent_at, self.event_count > 0);
         let stop = loop {
             // Checked also while data arrives: it may never end, and need not consist of events.
             if let Some(stop) = self.overdue(last_event_at) {
@@ -195,17 +254,25 @@
                     let Some(data) = frame.data_ref() else {
                         continue;
                     };
+                    if !has_data {
+                        ticket.note_first_data(clock::now());
+                        has_data = true;
+                    }
                     let event_count = self.event_count;
+                    let received_at = clock::now();
                     if let Err(stop) = self.forward_events(&mut splitter, data, sender).await {
                         break stop;
                     }
                     if self.event_count > event_count {
                         last_event_at = clock::now();
+                        pace.record_events(received_at, last_event_at);
                     }
                 }
             }
         };
         guard.disarm();
+        let answer = stop.answer(has_data, &mut ticket);
+        self.dispatch.end_ticket(ticket, answer);
         let outcome = match stop {
             Stop::Whole => Outcome::Answered,
             Stop::Broken(_) => Outcome::Failed,
@@ -225,7 +292,19 @@
         self.dispatch
             .record_attempt(&choice, outcome, label, &self.event_count);
         match stop {
-            Stop::Whole => self.dispatch.record_whole_answer(&head),
+            Stop::Whole => {
+                self.dispatch.record_whole_answer(&head);
+                if let Some((first_byte, total)) = pace.times() {
+                    let run = Run {
+                        first_byte,
+                        total,
+                        prompt_read: self.dispatch.uncached_tokens(&choice),
+                        generated: self.event_count * self.event_tokens,
+                        running: metadata.load.map_or(0, |load| load.running),
+                    };
+                    self.dispatch.record_run(&choice, &run);
+                }
+            }
             Stop::Broken(CONNECTION_LOST | CUT_EVENT) => {
                 self.dispatch.record_break(&choice, sent_at);
             }
--- a/crates/celerycove-gateway/src/entry/serve.rs
+++ b/crates/celerycove-gateway/src/entry/serve.rs
@@ -9,7 +9,7 @@
 };
 use celerycove_log::limit;
 use celerycove_quarantine::digest::Subject;
-use celerycove_route::direct::affinity_hash;
+use celerycove_route::{direct::affinity_hash, hedge::Permit};
 use celerycove_turn::{Begin, Outcome};
 use celerycove_types::{Timestamp, id};
 use hyper::{
@@ -27,6 +27,7 @@
     hop::strip_hop_by_hop,
     rate_limit::Claim,
     relay::{Relay, ReservationGuard, RetainedTurn},
+    urgency::Turn,
 };
 use crate::{
     clock,
@@ -160,6 +161,7 @@
         let organisation = admitted.organisation.clone();
         let entry = self.clone();
         let mut dispatch = self.new_dispatch(started, head, body, call, request, admitted)?;
+        dispatch.priority = dispatch.engine_priority(claim.begins.is_some());
         (dispatch.digests, dispatch.is_trial) = (digests, is_trial);
         let result = if dispatch.route.kind == Kind::Streaming {
             forward_stream(dispatch).await
@@ -290,7 +292,9 @@
         Ok(Dispatch {
             affinity: affinity_hash(affinity_key),
             service: target.service.clone(),
-            priority: (!call.prompt.is_empty()).then_some(priority.min(9)),
+            rank: priority,
+            priority: None,
+            pass: None,
             entry: self,
             index,
             organisation,
@@ -311,10 +315,25 @@
             tries: 0,
             digests: None,
             is_trial: false,
+            hedge_permit: Permit::default(),
+            failed_on: None,
         })
     }
 }
 
+impl Dispatch {
+    /// Returns the priority in an engine's queue; `None` for other services.
+    fn engine_priority(&self, begins_program: bool) -> Option<u8> {
+        let turn = Turn {
+            rank: self.rank,
+            begins_program,
+            program_deadline: self.call.program_deadline,
+            max_tokens: self.call.tokens.map_or(0, |(_, most)| most),
+        };
+        (!self.call.prompt.is_empty()).then(|| turn.priority())
+    }
+}
+
 /// Returns the size of a request's head in bytes. Hyper itself limits only the part that it has to
 /// buffer.
 fn head_bytes(head: &Parts) -> usize {
@@ -355,6 +374,11 @@
 
 /// Begins a turn if the route or a budget demands it, and forwards the stream of an engine.
 async fn forward_stream(mut dispatch: Dispatch) -> Result<Response<Body>, Refusal> {
+    dispatch.pass = dispatch.entry.intakes.enter(&dispatch).await?;
+    if dispatch.pass.as_ref().is_some_and(|pass| pass.is_first) {
+        // Also if it was refused before and has come back.
+        dispatch.priority = dispatch.engine_priority(true);
+    }
     let (mut reservation, mut retained) = (None, None);
     if dispatch.route.stores_turns || dispatch.call.budget.is_some() {
         let (guard, chain) = begin_turn(&dispatch).await?;
@@ -363,6 +387,9 @@
         }
         reservation = Some(guard);
     }
+    if let Some(pass) = &dispatch.pass {
+        pass.record_sent(&dispatch);
+    }
     let exchange = dispatch.begin_response(dispatch.call.last_event).await?;
     let is_stream = exchange
         .head
--- a/crates/celerycove-gateway/src/message.rs
+++ b/crates/celerycove-gateway/src/message.rs
@@ -31,9 +31,13 @@
     /// Whether it has a disk and can be a member of a replicated log.
     #[serde(rename = "keeps")]
     pub has_disk: bool,
-    /// Whether it may bootstrap a log: the system starts for the first time and its disk is empty.
+    /// Whether it was started as part of the first start of the system and its disk held no log.
     #[serde(rename = "founder")]
     pub may_bootstrap: bool,
+    /// Whether its disk held no log when it started. A process of a version that doesn't tell counts
+    /// as one with a log.
+    #[serde(default)]
+    pub has_empty_disk: bool,
 }
 
 /// One message on a connection.
@@ -45,9 +49,12 @@
     Ping,
     /// A message of the replicated log that both processes are members of.
     Log(Box<Message>),
-    /// The initial members of the control log, from the one instance that may choose them.
+    /// The initial members of the control log, from the one instance that may choose them or from one
+    /// that has opened its log with them.
     #[serde(rename = "Found")]
     InitialMembers(BTreeSet<id::Process>),
+    /// No control log has been opened yet: from the instance that is to choose its initial members.
+    FirstStart,
     /// Counts of requests that backend servers answered and failed at an entry, for the other
     /// entries of its data centre.
     Evidence(Vec<Report>),
@@ -72,6 +79,13 @@
     /// Asks a control instance for the whole committed state: the sender holds none, or one that
     /// the last step doesn't start from.
     RequestView,
+    /// The term of the control leader, and the shares of requests that entries may send to new
+    /// versions, from it to all entries.
+    #[serde(rename = "RolloutLeases")]
+    RolloutLeases(u64, Vec<celerycove_rollout::Lease>),
+    /// What an entry has sent to old and new versions and how they answered, for the control leader.
+    #[serde(rename = "RolloutReports")]
+    RolloutReports(Vec<celerycove_rollout::Report>),
 }
 
 /// A request from one process to another.
@@ -111,6 +125,8 @@
     NotLeader(Option<id::Process>),
     /// The request may or may not have been carried out.
     Unknown,
+    /// The command repeats an order that was carried out, and nothing was done.
+    Repeated,
 }
 
 /// A heartbeat of a backend server that is passed on to other processes.
@@ -159,10 +175,12 @@
 /// What a control instance sends to other processes on each change and periodically.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Update {
-    /// Numbers the updates of one sender that are to be acknowledged; [`UNNUMBERED`] for others.
+    /// Numbers the updates of one sender that are to be acknowledged; [`UNNUMBERED`] for others. An
+    /// entry acknowledges one as soon as it also has the state of its index, and has no requests on
+    /// versions that a completed rollout has replaced.
     #[serde(rename = "number")]
     pub sequence: SequenceNumber,
-    /// The index of the newest state that the sender has applied.
+    /// The index of the newest state that the sender has applied; zero if that does not matter.
     pub index: u64,
     /// The committed state, if it changed or was requested.
     pub view: Option<ViewUpdate>,
--- a/crates/celerycove-gateway/src/metrics.rs
+++ b/crates/celerycove-gateway/src/metrics.rs
@@ -47,6 +47,14 @@
     backend_crashes: Counter<u64>,
     quarantined_requests: Gauge<u64>,
     quarantine_refusals: Counter<u64>,
+    rollout_requests: Counter<u64>,
+    rollout_bad: Counter<u64>,
+    rollout_share: Gauge<f64>,
+    admission_waiting: Gauge<u64>,
+    admission_refusals: Counter<u64>,
+    admission_wait_seconds: Histogram<f64>,
+    hedges: Counter<u64>,
+    hedge_work: Counter<u64>,
     log_lines_dropped: Gauge<u64>,
     log_output: std::sync::OnceLock<Arc<celerycove_log::Counters>>,
     memory_bytes: Gauge<u64>,
@@ -80,6 +88,16 @@
             backend_crashes: meter.u64_counter("celerycove_backend_crashes").build(),
             quarantined_requests: meter.u64_gauge("celerycove_quarantined_requests").build(),
             quarantine_refusals: meter.u64_counter("celerycove_quarantine_refusals").build(),
+            rollout_requests: meter.u64_counter("celerycove_rollout_requests").build(),
+            rollout_bad: meter.u64_counter("celerycove_rollout_bad").build(),
+            rollout_share: meter.f64_gauge("celerycove_rollout_share").build(),
+            admission_waiting: meter.u64_gauge("celerycove_admission_waiting").build(),
+            admission_refusals: meter.u64_counter("celerycove_admission_refused").build(),
+            admission_wait_seconds: meter
+                .f64_histogram("celerycove_admission_wait_seconds")
+                .build(),
+            hedges: meter.u64_counter("celerycove_hedges").build(),
+            hedge_work: meter.u64_counter("celerycove_hedge_work").build(),
             log_lines_dropped: meter.u64_gauge("celerycove_log_lines_dropped").build(),
             memory_bytes: meter.u64_gauge("celerycove_memory_bytes").build(),
             memory_limit_bytes: meter.u64_gauge("celerycove_memory_limit_bytes").build(),
@@ -170,6 +188,52 @@
         self.quarantine_refusals.add(1, &[]);
     }
 
+    /// Counts requests that were sent to the old or the new versions during a rollout, and bad answers
+    /// to them.
+    pub fn record_rollout(&self, service: &str, side: &'static str, requests: u64, bad: u64) {
+        let labels = [
+            KeyValue::new("service", service.to_owned()),
+            KeyValue::new("side", side),
+        ];
+        self.rollout_requests.add(requests, &labels);
+        self.rollout_bad.add(bad, &labels);
+    }
+
+    /// Records the share of a service's requests that may go to the new version.
+    pub fn record_rollout_share(&self, service: &str, share: f64) {
+        let label = [KeyValue::new("service", service.to_owned())];
+        self.rollout_share.record(share, &label);
+    }
+
+    /// Records how many first turns wait at the admission gates now.
+    pub fn record_admission_waiting(&self, count: usize) {
+        self.admission_waiting
+            .record(u64::try_from(count).unwrap_or(u64::MAX), &[]);
+    }
+
+    /// Counts a first turn that an admission gate refused.
+    pub fn record_admission_refusal(&self, reason: &'static str) {
+        self.admission_refusals
+            .add(1, &[KeyValue::new("reason", reason)]);
+    }
+
+    /// Records how long a first turn waited before it started.
+    pub fn record_admission_wait(&self, waited: Duration) {
+        self.admission_wait_seconds
+            .record(waited.as_secs_f64(), &[]);
+    }
+
+    /// Counts an extra attempt that ended, or that was due and withheld, by what came of it.
+    pub fn record_hedge(&self, outcome: &'static str) {
+        self.hedges.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Counts the work of an extra attempt: tokens of a prompt, or microseconds of a call.
+    pub fn record_hedge_work(&self, is_prompt: bool, work: u64) {
+        let unit = if is_prompt { "tokens" } else { "microseconds" };
+        self.hedge_work.add(work, &[KeyValue::new("unit", unit)]);
+    }
+
     fn encode(&self) -> Result<Vec<u8>, Error> {
         if let Some(output) = self.log_output.get() {
             self.log_lines_dropped.record(output.counts().1, &[]);
--- a/crates/celerycove-gateway/tests/callers.rs
+++ b/crates/celerycove-gateway/tests/callers.rs
@@ -1,12 +1,18 @@
 //! Tests of an entry, a control instance and a store on loopback, with backend servers that
 //! fail on demand.
 
+#[path = "callers/abandonment.rs"]
+mod abandonment;
+#[path = "callers/admission.rs"]
+mod admission;
 #[path = "callers/backend.rs"]
 mod backend;
 #[path = "callers/dialect.rs"]
 mod dialect;
 #[path = "callers/fleet.rs"]
 mod fleet;
+#[path = "callers/hedge.rs"]
+mod hedge;
 #[path = "callers/misbehaviour.rs"]
 mod misbehaviour;
 
--- a/crates/celerycove-gateway/tests/callers/backend.rs
+++ b/crates/celerycove-gateway/tests/callers/backend.rs
@@ -12,7 +12,8 @@
 
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::{TcpListener, TcpStream},
+    net::{TcpListener, TcpSocket, TcpStream},
+    sync::Notify,
 };
 
 /// How a backend server fails a request.
@@ -22,6 +23,8 @@
     CloseAfterReading,
     /// Reads the request and sends nothing until the connection is closed.
     Silence,
+    /// Sends a whole response after this many milliseconds.
+    Late(u64),
     /// Closes the connection in the middle of the response body.
     TruncateBody,
     /// Responds with the identifier of another request.
@@ -76,6 +79,8 @@
     failures: Failures,
     executed: Mutex<Vec<ExecutedRequest>>,
     open_streams: AtomicUsize,
+    silent: AtomicUsize,
+    reused_silent: AtomicUsize,
 }
 
 pub struct Backend {
@@ -117,6 +122,31 @@
         }
     }
 
+    /// Starts a server that accepts connections only once it is notified, and until then has room for two
+    /// that wait.
+    pub fn start_unaccepting(name: &'static str) -> (Self, Arc<Notify>) {
+        let socket = TcpSocket::new_v4().expect("a socket");
+        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+        socket.bind(any_port).expect("a port");
+        let listener = socket.listen(1).expect("a listener");
+        let address = listener.local_addr().expect("an address");
+        let state = Arc::new(State::default());
+        let (server_state, accept) = (state.clone(), Arc::new(Notify::new()));
+        let notified = accept.clone();
+        tokio::spawn(async move {
+            notified.notified().await;
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(serve(stream, server_state.clone()));
+            }
+        });
+        let backend = Self {
+            name,
+            address,
+            state,
+        };
+        (backend, accept)
+    }
+
     pub fn executed(&self) -> Vec<ExecutedRequest> {
         self.state.executed.lock().expect("a lock").clone()
     }
@@ -126,6 +156,16 @@
         self.state.executed.lock().expect("a lock").clear();
     }
 
+    /// The number of open connections on which it leaves a request without a response.
+    pub fn silent_connections(&self) -> usize {
+        self.state.silent.load(SeqCst)
+    }
+
+    /// The number of connections on which more was sent after a request that it left without a response.
+    pub fn reused_silent_connections(&self) -> usize {
+        self.state.reused_silent.load(SeqCst)
+    }
+
     /// The number of streams that it is sending.
     pub fn open_streams(&self) -> usize {
         self.state.open_streams.load(SeqCst)
@@ -194,7 +234,12 @@
         }
         if failure == Some(Failure::Silence) {
             let mut byte = [0];
-            let _ = stream.read(&mut byte).await;
+            state.silent.fetch_add(1, SeqCst);
+            let read = stream.read(&mut byte).await;
+            state.silent.fetch_sub(1, SeqCst);
+            if matches!(read, Ok(1..)) {
+                state.reused_silent.fetch_add(1, SeqCst);
+            }
             return;
         }
         if let Some(Failure::Unframed(body) | Failure::ResetUnframed(body)) = failure {
@@ -227,6 +272,9 @@
             }
             return;
         }
+        if let Some(Failure::Late(delay_ms)) = failure {
+            tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+        }
         let keep_open = if request.path.starts_with("/plain") || request.path.starts_with("/once") {
             respond(&mut stream, &request, failure).await
         } else {
--- a/crates/celerycove-gateway/tests/callers/fleet.rs
+++ b/crates/celerycove-gateway/tests/callers/fleet.rs
@@ -14,7 +14,7 @@
     Setup, control, entry,
     memory::{Account, Budget},
     metrics::Metrics,
-    setup::{ListenAddresses, Role, TimeLimits},
+    setup::{DEFAULT_ROLLOUT, ListenAddresses, Role, TimeLimits},
     store,
 };
 use http_body_util::{BodyExt, Full};
@@ -148,6 +148,7 @@
     control_address: SocketAddr,
     _stop: watch::Sender<bool>,
     entry: Mutex<Option<entry::Running>>,
+    entry_setup: Setup,
 }
 
 /// A response, read up to its end or to the point where the connection failed.
@@ -213,6 +214,9 @@
             bootstrap: true,
             data_dir: data.map(|name| folder.join(name)),
             tolerated_failures: 1,
+            holds_first_turns: true,
+            max_extra_share: None,
+            rollout: DEFAULT_ROLLOUT,
             bounds: TimeLimits {
                 grace_period,
                 replacement: Duration::from_secs(4),
@@ -234,6 +238,7 @@
         let metrics = Metrics::new().expect("metrics");
         let entry = setup(Role::Entry, None);
         let account = Account::new(entry.memory);
+        let entry_setup = entry.clone();
         let entry = entry::start(entry, Arc::new(TestDialect), metrics, account)
             .await
             .expect("an entry");
@@ -246,6 +251,7 @@
             control_address: address(5),
             _stop: stop,
             entry: Mutex::new(Some(entry)),
+            entry_setup,
         };
         deployment.wait_until_serving().await;
         deployment
@@ -270,6 +276,16 @@
         self.spare.clear_executed();
     }
 
+    /// Reloads the entry's settings with another limit on extra attempts.
+    pub fn set_extra_share(&self, share: f64) {
+        let setup = Setup {
+            max_extra_share: Some(share),
+            ..self.entry_setup.clone()
+        };
+        let entry = self.entry.lock().expect("a lock");
+        entry.as_ref().expect("a running entry").reload(&setup);
+    }
+
     /// Asks the entry to stop; the task ends when it would exit.
     pub fn stop_entry(&self) -> tokio::task::JoinHandle<()> {
         let entry = self.entry.lock().expect("a lock").take();
@@ -437,6 +453,20 @@
         exchange(self.caller_address, request.body(body).expect("a request")).await
     }
 
+    /// Sends a turn with a prompt, of a program that should be finished within a time.
+    pub async fn program_turn(&self, id: &str, program: &str, finish: Duration) -> Reply {
+        let request = Request::post("/resumable/x")
+            .header("host", "test")
+            .header("id", id)
+            .header("key", "key-1")
+            .header("program", program)
+            .header("prompt", "1")
+            .header("most", "6")
+            .header("finish", finish.as_millis().to_string());
+        let request = request.body(Full::from(id.to_owned())).expect("a request");
+        exchange(self.caller_address, request).await
+    }
+
     /// Reads the first event of a stream and closes the connection.
     pub async fn disconnect_after_first_event(&self, id: &str, path: &str) {
         let request = Request::post(path)
