fix(route): learn speeds only where servers share their machines

Change: runs count only in a service in which a server reported within a minute that work took another time there than usual. The tests of learning report that once before they begin; their checks are as before. Result: celerycove-route's tests speeds, spill and direct pass.

--- a/crates/celerycove-route/src/direct.rs
+++ b/crates/celerycove-route/src/direct.rs
@@ -390,6 +390,14 @@
                 server.sent_since_load = 0;
             }
         }
+        self.record_slowdown(now, service, load);
+    }
+
+    fn record_slowdown(&mut self, now: Timestamp, service: &str, load: Option<Load>) {
+        let slowdown = load.and_then(|load| load.slowdown);
+        if let Some(speeds) = self.speeds.get_mut(service) {
+            speeds.record_slowdown(now, slowdown);
+        }
     }
 
     /// Records the load that was reported at the start of a response.
@@ -399,6 +407,7 @@
             server.sent_since_load = 0;
             server.last_response_at = now;
         }
+        self.record_slowdown(now, service, Some(load));
     }
 
     /// Records how long a request took that was answered in full.
@@ -411,7 +420,9 @@
         };
         let slowdown = server.slowdown_within(now, run.total).unwrap_or(1.0);
         let slots = server.registration.slots;
-        if let Some(speeds) = self.speeds.get_mut(service) {
+        if let Some(speeds) = self.speeds.get_mut(service)
+            && speeds.is_uneven(now)
+        {
             speeds.record(now, &mut server.pace, run, slots, slowdown);
         }
     }
--- a/crates/celerycove-route/src/direct/speed.rs
+++ b/crates/celerycove-route/src/direct/speed.rs
@@ -36,6 +36,9 @@
 /// Further width of that band, in units of the samples' median deviation divided by the square root of
 /// their number. The standard error of the median of normally distributed samples is 1.9 of them.
 const BAND_DEVIATIONS: f64 = 6.0;
+/// How long the servers of a service count as sharing their machines after one of them last reported
+/// that work took another time there than usual.
+const SHARED_MACHINES_TIME: Duration = Duration::from_mins(1);
 /// How far the learned delays may be from the neutral ones, as a factor.
 const MAX_CHANGE: f64 = 2.0;
 
@@ -152,6 +155,8 @@
     deviation: Quantile,
     /// Mean number of tokens that the latest requests take of an engine's memory, if there were any.
     tokens: Option<f64>,
+    /// When a server last reported that work took another time there than usual.
+    uneven_at: Option<Timestamp>,
 }
 
 /// How fast one backend server is.
@@ -189,6 +194,21 @@
 }
 
 impl Speeds {
+    /// Records the slowdown that a server reported, in percent of the usual time.
+    pub(super) fn record_slowdown(&mut self, now: Timestamp, percent: Option<u32>) {
+        if percent.is_some_and(|percent| percent != 100) {
+            self.uneven_at = Some(now);
+        }
+    }
+
+    /// Returns whether servers of the service share their machines with other work. Speeds are learned
+    /// only then: elsewhere the differences in the samples come from load, and following them moves
+    /// programs away from their cached prompts.
+    pub(super) fn is_uneven(&self, now: Timestamp) -> bool {
+        self.uneven_at
+            .is_some_and(|at| now.saturating_sub(at) < SHARED_MACHINES_TIME)
+    }
+
     /// Records an answered request of a server with `slots` slots that reported to take `slowdown` times
     /// the usual time at that moment.
     pub(super) fn record(
--- a/crates/celerycove-route/tests/speeds.rs
+++ b/crates/celerycove-route/tests/speeds.rs
@@ -172,6 +172,9 @@
         counts: [0; 12],
         learns,
     };
+    for entry in &mut service.entries {
+        entry.record_load(NOW, "tool", "s0", idle(101));
+    }
     let capacity: f64 = (0..12).map(|n| 8.0 / factors[n % 3] / 0.040).sum();
     let mut now = NOW;
     let mut number = 0_u32;
@@ -252,6 +255,7 @@
         generated: 0,
         running: 1,
     };
+    servers.record_load(NOW, "tool", "s1", idle(101));
     for _ in 0..100 {
         for (name, total_ms) in [("s0", 100), ("s1", 40), ("s2", 40)] {
             servers.record_run(NOW, "tool", name, &run(total_ms));
@@ -264,3 +268,31 @@
     let calls = calls_at_first(&mut servers, NOW);
     assert!((15..55).contains(&calls), "{calls}");
 }
+
+/// Guards against leaving the common order for differences that come from load, in a service whose
+/// servers have machines of their own.
+#[test]
+fn speeds_are_learned_only_where_servers_share_machines() {
+    let run = |total_ms| Run {
+        first_byte: Duration::from_millis(total_ms),
+        total: Duration::from_millis(total_ms),
+        prompt_read: 0,
+        generated: 0,
+        running: 1,
+    };
+    for (slowdown, avoids) in [(None, false), (Some(100), false), (Some(101), true)] {
+        let mut servers = servers(3);
+        let load = Load {
+            slowdown,
+            ..idle(100)
+        };
+        servers.record_load(NOW, "tool", "s1", load);
+        for _ in 0..100 {
+            for (name, total_ms) in [("s0", 100), ("s1", 40), ("s2", 40)] {
+                servers.record_run(NOW, "tool", name, &run(total_ms));
+            }
+        }
+        let calls = calls_at_first(&mut servers, NOW);
+        assert_eq!(calls == 0, avoids, "{slowdown:?}: {calls}");
+    }
+}
