test: review case 7, the stores' log has no leader for good after one lost disk

A script starts four fronts and four stores. A follower of the stores' log freezes for 3.2 s; 2.7 s after that began, the leader loses its disk. No turn is served 12 s after all are back (and 57 s after, two runs). TROUBLE=0, the freeze alone and the lost disk alone held (two runs each).

--- a/review/lib-2/deployment.py
+++ b/review/lib-2/deployment.py
@@ -41,6 +41,13 @@
 }
 
 
+# The zones, the region and the differing bounds of the sites' sheets.
+SITES = {
+    "zasoby-zilina": (["zilina-a", "martin-b", "bystrica-c"], "sk-central", {}),
+    "jidlingua-brno": (["brno-a", "brno-b", "praha-a", "praha-b"], "cz-central", {"catch_up_s": 4.7}),
+}
+
+
 class Unable(Exception):
     """The case could not run."""
 
@@ -134,10 +141,10 @@
         fields = {
             "node_name": self.name, "role": process.role, "machine_class": self.machine_class,
             "serves": ",".join(serves[role] for role in self.processes), "ip": self.ip,
-            "zone": self.zone, "region": "sk-central",
+            "zone": self.zone, "region": deployment.region,
         }
         for zone in deployment.zones:
-            fields[f"zones.{zone}"] = "sk-central"
+            fields[f"zones.{zone}"] = deployment.region
         if process.role == "entry":
             fields["listen.front"] = f"{self.ip}:{FRONT}"
             fields["listen.ready"] = f"{self.ip}:{READY}"
@@ -160,7 +167,7 @@
             "contracts": "base,drain,config,cost,recover,agent,stream,engine,tenants,quota,places",
             "fault_tolerance.machines": 1, "fault_tolerance.zones": 1, "fault_tolerance.regions": 0,
         })
-        fields.update({f"bounds.{name}": value for name, value in BOUNDS.items()})
+        fields.update({f"bounds.{name}": value for name, value in deployment.bounds.items()})
         fields["config_mode"] = "highest"
         if (self.ip, process.role) in deployment.proxied:
             # The process is known by its usual address, at which a proxy listens.
@@ -192,21 +199,25 @@
 
 
 class Deployment:
-    """Three `front` machines with control and entry, and three `storage` machines, in three zones."""
+    """`front` machines with control and entry, and `storage` machines: one of each in each zone."""
 
-    def __init__(self, record, fronts=3, stores=3):
+    def __init__(self, record, site="zasoby-zilina", fronts=None, stores=None):
         if not os.access(NODE, os.X_OK):
             raise Unable("target/release/celerycove-node is not built")
         self.record = record
         self.network = free_network()
         self.folder = tempfile.mkdtemp(prefix="celerycove-review-")
-        self.zones = ["zilina-a", "martin-b", "bystrica-c"]
+        self.zones, self.region, bounds = SITES[site]
+        self.bounds = {**BOUNDS, **bounds}
+        zones = len(self.zones)
         self.fronts = [
-            Machine(self, f"front-{self.zones[n % 3]}-{n // 3 + 1}", "front", self.zones[n % 3],
-                    11 + n, ["control", "entry"]) for n in range(fronts)]
+            Machine(self, f"front-{self.zones[n % zones]}-{n // zones + 1}", "front",
+                    self.zones[n % zones], 11 + n, ["control", "entry"])
+            for n in range(fronts or zones)]
         self.stores = [
-            Machine(self, f"storage-{self.zones[n % 3]}-{n // 3 + 1}", "storage", self.zones[n % 3],
-                    31 + n, ["store"]) for n in range(stores)]
+            Machine(self, f"storage-{self.zones[n % zones]}-{n // zones + 1}", "storage",
+                    self.zones[n % zones], 31 + n, ["store"])
+            for n in range(stores or zones)]
         self.tasks = []
         self.proxied = set()
 
@@ -230,6 +241,22 @@
         else:
             shutil.rmtree(self.folder, ignore_errors=True)
 
+    def store_roles(self):
+        """The store that leads and those that follow it, as the stores' output tells; a bench picks its
+        victims by that too (`leader`, `follower`). Stores that stand by are neither."""
+        leader, members = None, set()
+        for store in self.stores:
+            with open(os.path.join(store.folder, "store.log"), encoding="utf-8") as file:
+                for line in file:
+                    if '"leadership changed"' in line:
+                        if '"leads":"true"' in line:
+                            leader = store
+                        elif leader is store:
+                            leader = None
+                    if '"members changed"' in line:
+                        members = {m for m in self.stores if f'{m.ip}:' in line.split('"members":')[1]}
+        return leader, [store for store in self.stores if store in members and store is not leader]
+
     def ended_by_itself(self):
         """Names of the processes that have ended though nobody ended them."""
         return [f"{m.name}/{p.role}" for m in self.machines for p in m.processes.values()
