--- a/review/lib-2/deployment.py
+++ b/review/lib-2/deployment.py
@@ -358,7 +358,10 @@
 async def read_chunked(reader, on_data=None):
     body = bytearray()
     while True:
-        size = int((await reader.readline()).split(b";")[0].strip() or b"0", 16)
+        line = await reader.readline()
+        if not line.endswith(b"\n"):
+            raise asyncio.IncompleteReadError(bytes(body), None)
+        size = int(line.split(b";")[0].strip(), 16)
         if size == 0:
             while (await reader.readline()).strip():
                 pass
@@ -387,14 +390,15 @@
             try:
                 if "chunked" in answered.get("transfer-encoding", ""):
                     data = await read_chunked(reader, on_data)
+                elif status in (204, 304):
+                    data = b""
                 elif "content-length" in answered:
                     data = await reader.readexactly(int(answered["content-length"]))
                 else:
                     data = await reader.read()
                 return Answer(status, answered, data, True)
             except (EOFError, OSError) as error:
-                partial = getattr(error, "partial", b"")
-                return Answer(status, answered, partial, False)
+                return Answer(status, answered, getattr(error, "partial", b""), False)
         finally:
             writer.close()
     return await asyncio.wait_for(exchange(), timeout)
