--- a/review/trials/crowd-3/case.py
+++ b/review/trials/crowd/case.py
@@ -2,7 +2,7 @@
 
 See claim.txt.
 """
-import asyncio, json, os, random, resource, shutil, sys, time
+import asyncio, json, os, random, resource, shutil, sys, time, traceback
 from pathlib import Path
 
 HERE = Path(__file__).resolve().parent
@@ -196,6 +196,9 @@
 def judge(deployment, platform):
     """The rule as written: a machine passes a request from a kept connection on to a sound engine and closes
     that connection without an answer, more than three times. A process that ends by itself counts as running."""
+    for line in deployment.runs():
+        if "run" in line:
+            note(run=line["run"], engine=line["engine"], at=round(line["t"] - began, 3))
     reached = {line["run"] for line in deployment.runs() if "run" in line}
     ended = {line["ended"] for line in deployment.runs() if "ended" in line}
     lost = [name for name, served, answered, whole, sent, at in User.results
@@ -218,6 +221,9 @@
 except CannotRun as error:
     print(f"cannot run: {error}")
     code = 2
+except Exception:
+    traceback.print_exc()
+    code = 2
 finally:
     if deployment:
         deployment.stop()
