fix: count answers that end with their connections as evidence of a request's innocence

Cause: a quarantine counts the crashes of runs that began after the last whole answer. An answer with neither a length nor chunks never counted as whole, since a crash may end one the same way, so that an organisation whose engines frame nothing was never vindicated.

Change: such an answer waits until its backend server is known to have lived on (two connections accepted, then a heartbeat of the same incarnation or no successor within 3 s), and vindicates from its end on. If connections are refused, its run counts as broken off: a crash that looked like an end was no evidence before. Only answers of suspected requests are looked into, one check a server at a time.

--- a/crates/celerycove-gateway/src/entry.rs
+++ b/crates/celerycove-gateway/src/entry.rs
@@ -9,6 +9,7 @@
 mod hedge;
 mod hop;
 mod intake;
+mod open_end;
 mod outage;
 mod outbox;
 mod pool;
--- a/crates/celerycove-gateway/src/entry/crashes.rs
+++ b/crates/celerycove-gateway/src/entry/crashes.rs
@@ -25,7 +25,7 @@
 use celerycove_types::{Map, Timestamp, id};
 use tokio::{net::TcpStream, time::timeout};
 
-use super::{Entry, Refusal};
+use super::{Entry, Refusal, open_end::OpenEnded};
 use crate::{
     clock,
     link::{Sender, lock},
@@ -40,12 +40,12 @@
 const PROBE_TIMEOUT: Duration = Duration::from_millis(350);
 /// How often, and how many times, the registry is asked for a later incarnation after the probes: a
 /// backend server that starts at once reports within this time.
-const REGISTRY_INTERVAL: Duration = Duration::from_millis(250);
-const REGISTRY_CHECKS: u32 = 12;
+pub(super) const REGISTRY_INTERVAL: Duration = Duration::from_millis(250);
+pub(super) const REGISTRY_CHECKS: u32 = 12;
 /// Backend servers that are probed at a time; a break of another one is no evidence meanwhile.
-const MAX_PROBED: usize = 64;
+pub(super) const MAX_PROBED: usize = 64;
 /// Requests that wait for the confirmation of one crash: those that a large engine runs and queues.
-const MAX_BROKEN: usize = 128;
+pub(super) const MAX_BROKEN: usize = 128;
 /// How often evidence is checked for its age, and sent again.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_secs(1);
 /// How long this entry sends its own evidence again, since messages may be lost.
@@ -53,8 +53,8 @@
 /// Lines a second about quarantined requests and those that are refused.
 const LINES_PER_SECOND: u32 = 20;
 
-/// A request whose connection broke.
-pub(super) struct Broken {
+/// A request that was sent to a backend server.
+pub(super) struct SentRequest {
     pub(super) request: id::Request,
     pub(super) digests: Digests,
     pub(super) organisation: id::Organisation,
@@ -62,13 +62,41 @@
     pub(super) started: Timestamp,
 }
 
+/// What new connections to the address of a backend server showed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Probe {
+    /// They were accepted.
+    Accepted,
+    /// One was refused: no process listens there.
+    Refused,
+    /// One had another end.
+    Unclear,
+}
+
+/// Probes the address of a backend server.
+pub(super) async fn probe(address: SocketAddr) -> Probe {
+    for delay in PROBE_DELAYS {
+        tokio::time::sleep(delay).await;
+        match timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await {
+            Ok(Ok(_)) => {}
+            Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
+                return Probe::Refused;
+            }
+            Ok(Err(_)) | Err(_) => return Probe::Unclear,
+        }
+    }
+    Probe::Accepted
+}
+
 /// What an entry knows of crashes.
 pub(super) struct Crashes {
     table: Mutex<Table>,
     /// Whether the table holds anything; without, no digest is computed.
     is_active: AtomicBool,
     /// Broken requests by backend servers whose crash is not confirmed.
-    unconfirmed: Mutex<Map<Server, Vec<Broken>>>,
+    unconfirmed: Mutex<Map<Server, Vec<SentRequest>>>,
+    /// Answers that ended with their connections, by backend servers that are not known to live on.
+    pub(super) open_ended: Mutex<Map<Server, Vec<OpenEnded>>>,
     lines: Mutex<Limit>,
 }
 
@@ -78,6 +106,7 @@
             table: Mutex::default(),
             is_active: AtomicBool::new(false),
             unconfirmed: Mutex::default(),
+            open_ended: Mutex::default(),
             lines: Mutex::new(Limit::new(LINES_PER_SECOND)),
         }
     }
@@ -88,8 +117,14 @@
         self.is_active.load(Relaxed)
     }
 
+    /// Returns whether evidence against a request is known that a whole answer would refute.
+    pub(super) fn is_suspect(&self, digests: &Digests) -> bool {
+        let mut table = lock(&self.table);
+        digests.iter().any(|digest| table.is_suspect(digest))
+    }
+
     /// Returns whether a line may be logged now.
-    fn admit_line(&self) -> bool {
+    pub(super) fn admit_line(&self) -> bool {
         let Some(Admitted { held_back }) = lock(&self.lines).admit(clock::now()) else {
             return false;
         };
@@ -140,10 +175,12 @@
         Ok(is_trial)
     }
 
-    /// Records that a backend server answered a request completely.
-    pub(super) fn vindicate(&self, request: &id::Request, digests: &Digests) {
+    /// Records that a backend server answered a request completely at `ended_at`.
+    pub(super) fn vindicate(&self, request: &id::Request, digests: &Digests, ended_at: Timestamp) {
         for digest in digests {
-            let evidence = lock(&self.crashes.table).vindicate(clock::now(), *digest);
+            let now = clock::now();
+            let age = now.saturating_sub(ended_at);
+            let evidence = lock(&self.crashes.table).vindicate_late(now, age, *digest);
             if evidence.is_empty() {
                 continue;
             }
@@ -157,8 +194,18 @@
 
     /// Records that the connection broke on which a request had been sent, and finds out whether the
     /// backend server crashed.
-    pub(super) fn record_break(self: &Arc<Self>, choice: &Selection, broken: Broken) {
+    pub(super) fn record_break(self: &Arc<Self>, choice: &Selection, broken: SentRequest) {
         let server = (choice.backend.clone(), choice.incarnation);
+        self.record_break_at(server, choice.address, broken, clock::now());
+    }
+
+    pub(super) fn record_break_at(
+        self: &Arc<Self>,
+        server: Server,
+        address: SocketAddr,
+        broken: SentRequest,
+        broke_at: Timestamp,
+    ) {
         let crashed_at = lock(&self.crashes.table).crashed_at(&server);
         if let Some(at) = crashed_at {
             // Sent later, it went to whatever has the address now.
@@ -184,7 +231,7 @@
             waiting.len() == 1
         };
         if is_first {
-            let (entry, address, broke_at) = (self.clone(), choice.address, clock::now());
+            let entry = self.clone();
             tokio::spawn(async move { entry.confirm_crash(server, address, broke_at).await });
         }
     }
@@ -215,15 +262,8 @@
 
     /// Finds out whether the process of a backend server is gone.
     async fn is_gone(&self, server: &Server, address: SocketAddr) -> bool {
-        for delay in PROBE_DELAYS {
-            tokio::time::sleep(delay).await;
-            match timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await {
-                Ok(Ok(_)) => {}
-                Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
-                    return true;
-                }
-                Ok(Err(_)) | Err(_) => break,
-            }
+        if probe(address).await == Probe::Refused {
+            return true;
         }
         for _ in 0..REGISTRY_CHECKS {
             if self.is_replaced(server, address) {
@@ -235,7 +275,7 @@
     }
 
     /// Whether a later incarnation has the name or the address of a backend server.
-    fn is_replaced(&self, (backend, incarnation): &Server, address: SocketAddr) -> bool {
+    pub(super) fn is_replaced(&self, (backend, incarnation): &Server, address: SocketAddr) -> bool {
         let registry = self.fleet_state.registry();
         registry.iter().any(|known| {
             let heartbeat = &known.heartbeat;
@@ -245,7 +285,7 @@
     }
 
     /// Logs the requests that a crash broke off, so that a digest leads to the requests.
-    fn log_broken(&self, (backend, incarnation): &Server, broken: &[Broken]) {
+    fn log_broken(&self, (backend, incarnation): &Server, broken: &[SentRequest]) {
         for broken in broken {
             if self.crashes.admit_line() {
                 let [digest, target] = broken.digests;
@@ -256,7 +296,7 @@
         }
     }
 
-    fn report_crash(&self, server: &Server, at: Timestamp, broken: &[Broken]) {
+    fn report_crash(&self, server: &Server, at: Timestamp, broken: &[SentRequest]) {
         let now = clock::now();
         let runs = broken.iter().map(|broken| {
             let [digest, target] = broken.digests;
--- a/crates/celerycove-gateway/src/entry/exchange.rs
+++ b/crates/celerycove-gateway/src/entry/exchange.rs
@@ -23,7 +23,7 @@
 use super::{
     Entry, Refusal,
     attempt::{AttemptOutcome, InFlightGuard},
-    crashes::Broken,
+    crashes::SentRequest,
     intake::Pass,
     pool::PooledConnection,
     response::{BufferError, collect, is_delimited, keeps_alive},
@@ -193,23 +193,40 @@
         }
     }
 
-    /// Records that the connection broke on which the request had been sent.
-    pub(super) fn record_break(&mut self, choice: &Selection, sent_at: Timestamp) {
-        let broken = Broken {
+    /// Returns what the evidence of crashes needs to know of the request.
+    fn sent_request(&mut self, sent_at: Timestamp) -> SentRequest {
+        SentRequest {
             request: self.request.clone(),
             digests: self.digests(),
             organisation: self.organisation.clone().unwrap_or_else(|| "".into()),
             started: sent_at,
-        };
+        }
+    }
+
+    /// Records that the connection broke on which the request had been sent.
+    pub(super) fn record_break(&mut self, choice: &Selection, sent_at: Timestamp) {
+        let broken = self.sent_request(sent_at);
         self.entry.record_break(choice, broken);
     }
 
     /// Records that a backend server answered completely. An answer that ends with its connection
     /// may have been cut short by a crash.
-    pub(super) fn record_whole_answer(&mut self, head: &Parts) {
-        if self.entry.crashes.is_active() && is_delimited(head) {
-            let digests = self.digests();
-            self.entry.vindicate(&self.request, &digests);
+    pub(super) fn record_whole_answer(
+        &mut self,
+        choice: &Selection,
+        head: &Parts,
+        sent_at: Timestamp,
+    ) {
+        if !self.entry.crashes.is_active() {
+            return;
+        }
+        let request = self.sent_request(sent_at);
+        if is_delimited(head) {
+            let digests = &request.digests;
+            self.entry
+                .vindicate(&request.request, digests, clock::now());
+        } else {
+            self.entry.record_open_end(choice, request);
         }
     }
 
@@ -298,7 +315,7 @@
             let answer = ticket.good();
             self.end_ticket(ticket, answer);
             self.record_attempt(&choice, Outcome::Answered, "answered", &head.status);
-            self.record_whole_answer(&head);
+            self.record_whole_answer(&choice, &head, sent_at);
             if self.call.prompt.is_empty() && head.status.is_success() {
                 let total = clock::now().saturating_sub(sent_at);
                 let run = Run {
--- a/crates/celerycove-gateway/src/entry/relay.rs
+++ b/crates/celerycove-gateway/src/entry/relay.rs
@@ -293,7 +293,7 @@
             .record_attempt(&choice, outcome, label, &self.event_count);
         match stop {
             Stop::Whole => {
-                self.dispatch.record_whole_answer(&head);
+                self.dispatch.record_whole_answer(&choice, &head, sent_at);
                 if let Some((first_byte, total)) = pace.times() {
                     let run = Run {
                         first_byte,
--- a/crates/celerycove-gateway/tests/crashes.rs
+++ b/crates/celerycove-gateway/tests/crashes.rs
@@ -104,3 +104,40 @@
         assert_eq!(deployment.runs_of(RESET), 12);
     });
 }
+
+/// Crashes three backend servers with requests to one target, whose other requests are answered in
+/// between, and checks that these are served before and after.
+async fn assert_not_held_back(deployment: &Deployment, path: &str) {
+    for number in 0..3 {
+        let id = format!("crash-{number}");
+        let body = format!("{CRASH} {number}");
+        deployment.call(number % 2, &id, path, &body).await;
+        // Answers go on while the crash is confirmed and the server starts again.
+        for round in 0..15 {
+            let id = format!("ordinary-{number}-{round}");
+            let reply = deployment.call(round % 2, &id, path, &id).await;
+            assert_eq!(reply.status, 200, "{path} {id}");
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+    }
+    assert!(deployment.runs_of(CRASH) >= 3);
+}
+
+/// Guards against an organisation whose requests to a target are all held back for minutes because some
+/// of them ran on backend servers that crashed, although others were answered in between: answers that
+/// end with their connections did not count (case 10 of the review).
+#[test]
+fn answers_that_end_with_their_connections_vindicate_their_target() {
+    for path in ["/plain/unframed", "/once/unframed", "/resumable/unframed"] {
+        deployment::run(async |deployment| assert_not_held_back(deployment, path).await);
+    }
+}
+
+/// Guards against a request that crashes server after server while each crash looks like the end of its
+/// answer: that must neither vindicate it nor hide the crash.
+#[test]
+fn answers_that_crashes_end_do_not_vindicate_their_request() {
+    for path in ["/plain/unframed", "/resumable/unframed"] {
+        deployment::run(async |deployment| assert_held_back(deployment, path).await);
+    }
+}
--- a/crates/celerycove-gateway/tests/crashes/deployment.rs
+++ b/crates/celerycove-gateway/tests/crashes/deployment.rs
@@ -40,6 +40,7 @@
 /// Candidate ports, apart from those of the other tests.
 const PORTS: std::ops::Range<u16> = 29_000..32_000;
 const BLOCK_PORTS: u16 = 10;
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(300);
 /// How long a backend server is gone after a crash.
 const RESTART_DELAY: Duration = Duration::from_millis(400);
 const SERVERS: usize = 10;
@@ -290,10 +291,15 @@
     /// Serves until a request crashes it, and starts again after [`RESTART_DELAY`].
     async fn run(self: Arc<Self>, mut listener: TcpListener) {
         loop {
-            self.send_heartbeat().await;
+            let mut heartbeats = tokio::time::interval(HEARTBEAT_INTERVAL);
+            let mut sequence = 0;
             let mut connections = JoinSet::new();
             loop {
                 tokio::select! {
+                    _ = heartbeats.tick() => {
+                        sequence += 1;
+                        self.send_heartbeat(sequence).await;
+                    }
                     accepted = listener.accept() => {
                         let (stream, _) = accepted.expect("a connection");
                         connections.spawn(self.clone().serve(stream));
@@ -309,13 +315,45 @@
         }
     }
 
-    async fn send_heartbeat(&self) {
-        let body = format!("{} ready 1 {}", self.address, self.born.load(SeqCst));
+    fn runs_of(&self, body: &str) -> usize {
+        let bodies = self.bodies.lock().expect("a lock");
+        bodies.iter().filter(|ran| *ran == body).count()
+    }
+
+    async fn send_heartbeat(&self, sequence: u64) {
+        let body = format!(
+            "{} ready {sequence} {}",
+            self.address,
+            self.born.load(SeqCst)
+        );
         let path = format!("/beat/{}", self.name);
         let reply = send(self.control, "PUT", &path, None, &body).await;
         assert_eq!(reply.expect("an answer").status, 200);
     }
 
+    /// Sends an answer with neither a length nor chunks and closes the connection. The first crash by a body
+    /// resets it; later ones close it where the answer could end.
+    async fn serve_unframed(&self, mut stream: TcpStream, head: &str, path: &str, body: &str) {
+        let answer = if path.starts_with("/resumable") {
+            format!("{head}content-type: text/event-stream\r\n\r\nid: 1\ndata: one\n\n")
+        } else {
+            format!("{head}\r\nanswer")
+        };
+        // The entry may have closed the connection.
+        let _ = stream.write_all(answer.as_bytes()).await;
+        if !body.starts_with(CRASH) {
+            return;
+        }
+        // The entry reads what was sent first.
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        if self.runs_of(body) == 1 {
+            let socket = socket2::SockRef::from(&stream);
+            socket.set_linger(Some(Duration::ZERO)).expect("a socket");
+        }
+        self.crashed.notify_one();
+        std::future::pending::<()>().await;
+    }
+
     async fn serve(self: Arc<Self>, mut stream: TcpStream) {
         let mut bytes = Vec::new();
         loop {
@@ -327,6 +365,9 @@
             };
             self.bodies.lock().expect("a lock").push(body.clone());
             let head = format!("HTTP/1.1 200 OK\r\nid: {id}\r\n");
+            if path.ends_with("/unframed") {
+                return self.serve_unframed(stream, &head, &path, &body).await;
+            }
             let answer = if path.starts_with("/resumable") {
                 let kind = "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n";
                 let event = "id: 1\ndata: one\n\n";
--- a/crates/celerycove-quarantine/src/table.rs
+++ b/crates/celerycove-quarantine/src/table.rs
@@ -202,10 +202,15 @@
     /// say nothing of it. It may still begin to crash backend servers later. Returns the evidence for other
     /// processes, which is empty if the request was under no suspicion.
     pub fn vindicate(&mut self, now: Timestamp, digest: Digest) -> Evidence {
+        self.vindicate_late(now, Duration::ZERO, digest)
+    }
+
+    /// Does the same for an answer that ended `age` ago: crashes of runs that began since still count.
+    pub fn vindicate_late(&mut self, now: Timestamp, age: Duration, digest: Digest) -> Evidence {
         if !self.is_suspect(&digest) {
             return Evidence::default();
         }
-        let vindications = vec![new_event(digest)];
+        let vindications = vec![Event { digest, age }];
         let evidence = Evidence {
             vindications,
             ..Evidence::default()
--- a/crates/celerycove-quarantine/tests/quarantine.rs
+++ b/crates/celerycove-quarantine/tests/quarantine.rs
@@ -579,3 +579,22 @@
             && verdicts(&mut ordered) == verdicts(&mut shuffled)
     }
 }
+
+/// Guards against an answer that is known to be whole only some time after its end: it must excuse the
+/// runs that began before its end, though they were counted meanwhile, and none that began later.
+#[test]
+fn a_late_vindication_holds_for_the_runs_before_the_end_of_the_answer() {
+    let mut table = Table::default();
+    let request = digest("a");
+    record_crashes(&mut table, request, 3, 10.0);
+    assert!(is_quarantined(&mut table, 12.5, &request));
+    // The answer ended at 11.0, before the run of 11.5.
+    let evidence = table.vindicate_late(seconds(13.0), seconds(2.0), request);
+    assert_eq!(evidence.vindications.len(), 1);
+    assert!(is_free(&mut table, 13.0, &request));
+    assert!(table.is_suspect(&request), "of the last crash");
+    record(&mut table, "s4", 14.0, &[(request, 13.5)]);
+    assert!(is_free(&mut table, 14.0, &request));
+    record(&mut table, "s5", 15.0, &[(request, 14.5)]);
+    assert!(is_quarantined(&mut table, 15.0, &request));
+}
