fix: take no response with an invalid status for an answer

Callers saw: statuses 101, 600 and 999 of a backend server as the answer to their request (reported elsewhere of 000, which hyper rejects: it answers 502 here, or runs elsewhere).

Cause: entries and sidecars left the check of statuses to hyper, which takes every number from 100 to 999 and hands 101 over though no request asks for an upgrade. Read in the code, shown by the tests.

Change: a status outside 200 to 599 fails the attempt as one that may have run; it is no refusal either.

--- a/crates/celerycove-daemon/src/sidecar/forward.rs
+++ b/crates/celerycove-daemon/src/sidecar/forward.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use celerycove_queue::{Event, Job, Refusal, ramp::Sample};
 use celerycove_sync::announce::Kind;
-use celerycove_types::{Timestamp, id};
+use celerycove_types::{Timestamp, id, status::is_final};
 use celerycove_wire::{Execution, header};
 use http_body_util::BodyExt;
 use hyper::{
@@ -189,6 +189,12 @@
             slot.finish(Some(Sample::Failed));
             return self.unknown_response("crossed_answer");
         }
+        if !is_final(status.as_u16()) {
+            log::warn!(target: "queue", backend:% = self.id, dispatch:% = dispatch, status:% = status;
+                "the backend server answered with an invalid status");
+            slot.finish(Some(Sample::Failed));
+            return self.unknown_response("invalid_status");
+        }
         self.record_boot_id(response.headers());
         let overloaded = matches!(status.as_u16(), 429 | 503);
         if overloaded && self.kind == Kind::Engine {
--- a/crates/celerycove-gateway/src/entry/attempt.rs
+++ b/crates/celerycove-gateway/src/entry/attempt.rs
@@ -6,7 +6,7 @@
 use celerycove_fleet::config::ServiceName;
 use celerycove_rollout::guide::Answer;
 use celerycove_route::direct::{Outcome, Selection};
-use celerycove_types::{Timestamp, id};
+use celerycove_types::{Timestamp, id, status::is_final};
 use http_body_util::Full;
 use hyper::{Request, Response, StatusCode, body::Incoming, http::response::Parts};
 use tokio::time::error::Elapsed;
@@ -27,6 +27,9 @@
 /// Time without a response after which a resumable stream is requested from another backend server.
 const STREAM_START_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Why a response is rejected that is not known to answer the request.
+const FOREIGN: &str = "answer to another request";
+
 /// Outcome of one attempt.
 pub(super) enum AttemptOutcome {
     Responded(Box<Exchange>),
@@ -207,7 +210,11 @@
             && *answered != self.request
         {
             self.end_ticket(ticket, Answer::Failed);
-            return self.reject_foreign_response(choice, head.status);
+            return self.reject_response(choice, head.status, FOREIGN);
+        }
+        if !is_final(head.status.as_u16()) {
+            self.end_ticket(ticket, Answer::Failed);
+            return self.reject_response(choice, head.status, "invalid status");
         }
         let misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
         // A misdirected request was answered by another backend server than the chosen one.
@@ -228,7 +235,7 @@
         }
         if metadata.request_id.is_none() {
             self.end_ticket(ticket, Answer::Failed);
-            return self.reject_foreign_response(choice, head.status);
+            return self.reject_response(choice, head.status, FOREIGN);
         }
         self.sent += 1;
         ticket.note_head(head.status.is_server_error());
@@ -247,14 +254,14 @@
         }))
     }
 
-    /// Records a response that is not known to answer this request, which may run nevertheless.
-    fn reject_foreign_response(&mut self, choice: Selection, status: StatusCode) -> AttemptOutcome {
-        self.record_attempt(
-            &choice,
-            Outcome::Failed,
-            "answer to another request",
-            &status,
-        );
+    /// Records a response that can't be passed on and does not tell whether the request runs.
+    fn reject_response(
+        &mut self,
+        choice: Selection,
+        status: StatusCode,
+        reason: &'static str,
+    ) -> AttemptOutcome {
+        self.record_attempt(&choice, Outcome::Failed, reason, &status);
         self.exclude_after_send(choice);
         AttemptOutcome::MayHaveRun(Refusal::Failed)
     }
--- a/crates/celerycove-gateway/tests/callers.rs
+++ b/crates/celerycove-gateway/tests/callers.rs
@@ -13,6 +13,8 @@
 mod fleet;
 #[path = "callers/hedge.rs"]
 mod hedge;
+#[path = "callers/invalid.rs"]
+mod invalid;
 #[path = "callers/misbehaviour.rs"]
 mod misbehaviour;
 
--- a/crates/celerycove-gateway/tests/callers/backend.rs
+++ b/crates/celerycove-gateway/tests/callers/backend.rs
@@ -60,6 +60,16 @@
     ResetUnframed(&'static str),
     /// Sends a whole response and, some time later, a second copy of it.
     SecondCopy,
+    /// Sends these bytes, in which `{id}` stands for the identifier of the request, and closes the
+    /// connection.
+    Raw(&'static str),
+}
+
+/// How a connection ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum End {
+    Closed,
+    Reset,
 }
 
 /// A request that a backend server executed.
@@ -216,6 +226,18 @@
     })
 }
 
+/// Sends bytes and ends the connection.
+async fn send_and_end(mut stream: TcpStream, text: &str, end: End) {
+    // The entry may have closed the connection.
+    let _ = stream.write_all(text.as_bytes()).await;
+    if end == End::Reset {
+        // The entry reads what was sent first.
+        tokio::time::sleep(RESET_DELAY).await;
+        let socket = socket2::SockRef::from(&stream);
+        socket.set_linger(Some(Duration::ZERO)).expect("a socket");
+    }
+}
+
 /// Sends the same bytes until the connection is closed.
 async fn send_without_end(stream: &mut TcpStream, text: &str) {
     let text = text.repeat(1_000);
@@ -250,16 +272,15 @@
             };
             let id = &request.id;
             let head = format!("HTTP/1.1 200 OK\r\nid: {id}\r\ncontent-type: {kind}\r\n\r\n");
-            let response = head + body;
-            // The entry may have closed the connection.
-            let _ = stream.write_all(response.as_bytes()).await;
-            if matches!(failure, Some(Failure::ResetUnframed(_))) {
-                // The entry reads what was sent first.
-                tokio::time::sleep(RESET_DELAY).await;
-                let socket = socket2::SockRef::from(&stream);
-                socket.set_linger(Some(Duration::ZERO)).expect("a socket");
-            }
-            return;
+            let end = match failure {
+                Some(Failure::ResetUnframed(_)) => End::Reset,
+                _ => End::Closed,
+            };
+            return send_and_end(stream, &(head + body), end).await;
+        }
+        if let Some(Failure::Raw(text)) = failure {
+            let text = text.replace("{id}", &request.id);
+            return send_and_end(stream, &text, End::Closed).await;
         }
         if failure == Some(Failure::EndlessInterim) {
             send_without_end(&mut stream, "HTTP/1.1 100 Continue\r\n\r\n").await;
--- /dev/null
+++ b/crates/celerycove-gateway/tests/callers/invalid.rs
@@ -0,0 +1,45 @@
+//! Responses with an invalid status.
+
+use crate::{
+    backend::Failure,
+    fleet::{self, Deployment},
+};
+
+/// Responses with a status that is no final one.
+const INVALID_STATUSES: [&str; 7] = [
+    "HTTP/1.1 000 None\r\nid: {id}\r\ncontent-length: 6\r\n\r\nbroken",
+    "HTTP/1.1 000 None\r\nid: {id}\r\ndeclined: 1\r\ncontent-length: 0\r\n\r\n",
+    "HTTP/1.1 099 None\r\nid: {id}\r\ncontent-length: 6\r\n\r\nbroken",
+    "HTTP/1.1 101 Switching\r\nid: {id}\r\nupgrade: other\r\nconnection: upgrade\r\n\r\nbroken",
+    "HTTP/1.1 600 More\r\nid: {id}\r\ncontent-length: 6\r\n\r\nbroken",
+    "HTTP/1.1 999 Most\r\nid: {id}\r\ncontent-length: 6\r\n\r\nbroken",
+    "HTTP/1.1 999 Most\r\nid: {id}\r\ndeclined: 1\r\ncontent-length: 0\r\n\r\n",
+];
+
+/// Guards against an answer whose status is none, such as 000, being passed on as an answer, or taken for
+/// a refusal.
+#[test]
+fn a_response_with_an_invalid_status_is_no_answer() {
+    fleet::run(async |deployment: &Deployment| {
+        for (number, response) in INVALID_STATUSES.into_iter().enumerate() {
+            let id = |name: &str| format!("{name}-{number}");
+            for path in ["/once/x", "/kept/x"] {
+                deployment.backend.clear_executed();
+                deployment.spare.clear_executed();
+                deployment.set_failures([Failure::Raw(response)]);
+                let once = deployment.call(&id("once"), path, Some("key-1")).await;
+                assert_eq!(once.status, 502, "{path} {response}");
+                assert_eq!(deployment.executed_requests().len(), 1, "{path} {response}");
+            }
+            deployment.set_failures([Failure::Raw(response)]);
+            let again = deployment
+                .call(&id("again"), "/plain/x", Some("key-1"))
+                .await;
+            assert_eq!((again.status, &again.body[..]), (200, &b"answer"[..]));
+            deployment.set_failures([Failure::Raw(response)]);
+            let stream = deployment.stream(&id("stream"), "/resumable/x").await;
+            assert!(stream.complete, "{response}");
+            assert_eq!(stream.events(), ["1:one", "2:two", "3:three"]);
+        }
+    });
+}
--- a/crates/celerycove-types/src/lib.rs
+++ b/crates/celerycove-types/src/lib.rs
@@ -1,4 +1,4 @@
-//! Identifiers, labels, label requirements and time, shared by all crates of celerycove.
+//! Identifiers, labels, label requirements, status codes and time, shared by all crates of celerycove.
 
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
@@ -7,6 +7,7 @@
 pub mod label;
 pub mod map;
 pub mod order;
+pub mod status;
 pub mod violation;
 
 pub use label::{Labels, Requirements};
