fix(gateway): believe no refusal without an identifier on a used connection

Callers saw (reported elsewhere, shown here): 503 with "not run" for a request that its backend server ran, if a faulty server wrote an earlier refusal once more, without an identifier, on the kept connection; with another server at hand, such a request ran there as well.

Cause: the identifier of a response was compared only where it had one. A refusal without one was believed by its place on the connection.

Change: without an identifier a refusal counts only on a connection that has carried no other request. Elsewhere the attempt may have run: 502, or another server if the request may be repeated.

Result: a_refusal_without_an_identifier_on_a_kept_connection_decides_nothing failed without the change (503 instead of 502) and passes with it. Refusals that bear the identifier of another request held before, too.

--- a/crates/celerycove-gateway/src/entry/attempt.rs
+++ b/crates/celerycove-gateway/src/entry/attempt.rs
@@ -222,6 +222,11 @@
             self.record_departure(&choice);
         }
         if metadata.declined || misdirected {
+            // Without an identifier, it may be a late copy of an earlier refusal on this connection.
+            if metadata.request_id.is_none() && connection.reused {
+                self.end_ticket(ticket, Answer::Failed);
+                return self.reject_response(choice, head.status, FOREIGN);
+            }
             lock(&self.entry.servers).record_outcome(
                 clock::now(),
                 &self.service,
--- a/crates/celerycove-gateway/tests/callers/backend.rs
+++ b/crates/celerycove-gateway/tests/callers/backend.rs
@@ -63,6 +63,8 @@
     /// Sends these bytes, in which `{id}` stands for the identifier of the request, and closes the
     /// connection.
     Raw(&'static str),
+    /// Sends a whole response and, some time later, these bytes.
+    LateBytes(&'static str),
 }
 
 /// How a connection ends.
@@ -345,6 +347,11 @@
                 format!("HTTP/1.1 503 No\r\nid: {id}\r\ndeclined: 1\r\ncontent-length: 0\r\n\r\n");
             (refusal, true)
         }
+        Some(Failure::LateBytes(bytes)) => {
+            stream.write_all(response.as_bytes()).await.ok()?;
+            tokio::time::sleep(SECOND_COPY_DELAY).await;
+            (bytes.to_owned(), true)
+        }
         Some(Failure::SecondCopy) => {
             stream.write_all(response.as_bytes()).await.ok()?;
             tokio::time::sleep(SECOND_COPY_DELAY).await;
--- a/crates/celerycove-gateway/tests/callers/invalid.rs
+++ b/crates/celerycove-gateway/tests/callers/invalid.rs
@@ -1,4 +1,6 @@
-//! Responses with an invalid status.
+//! Responses with an invalid status, and refusals that belong to no request in flight.
+
+use std::time::Duration;
 
 use crate::{
     backend::Failure,
@@ -43,3 +45,42 @@
         }
     });
 }
+
+/// Sends a request on a connection that has carried an answer, after which the backend server writes
+/// `late`, and returns its status.
+async fn status_beside(deployment: &Deployment, late: &'static str) -> u16 {
+    deployment.set_failures([Failure::LateBytes(late)]);
+    let first = deployment.call("first", "/once/x", Some("key-1")).await;
+    assert_eq!(first.status, 200);
+    // Sent on the same connection before the bytes arrive.
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    let second = deployment.call("second", "/once/x", Some("key-1")).await;
+    second.status
+}
+
+/// Guards against an earlier refusal that is written once more on a kept connection, without an
+/// identifier, being taken for that of the request in flight, which runs.
+#[test]
+fn a_refusal_without_an_identifier_on_a_kept_connection_decides_nothing() {
+    for late in [
+        "HTTP/1.1 503 No\r\ndeclined: 1\r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 429 No\r\ndeclined: 1\r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 421 No\r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 503 No\r\nid: first\r\ndeclined: 1\r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 421 No\r\nid: first\r\ncontent-length: 0\r\n\r\n",
+    ] {
+        fleet::run(async |deployment: &Deployment| {
+            deployment
+                .send_heartbeat(&deployment.spare, "draining", 2)
+                .await;
+            assert_eq!(status_beside(deployment, late).await, 502, "it may run");
+        });
+        // With another backend server, at which it must not run as well.
+        fleet::run(async |deployment: &Deployment| {
+            status_beside(deployment, late).await;
+            tokio::time::sleep(Duration::from_millis(300)).await;
+            let executed = deployment.executed_requests().len();
+            assert!(executed <= 2, "each at most once: {late}");
+        });
+    }
+}
