fix(daemon): use no connection again that has carried a refusal

Callers saw (shown here): a call that an engine ran was told as not run, and dispatched to another engine, if the engine wrote an earlier refusal once more on a kept connection.

Cause: the sidecar's client returned the connection to its pool after a refusal, and engines don't name the request in refusals, so that the copy answered the next request.

Change: the connection of a refusal, of an answer to another request and of an invalid status is retired.

Result: a_refusal_that_is_written_once_more_is_read_by_no_other_request failed without the change ("request 0 ran") and passes with it.

--- a/crates/celerycove-daemon/src/sidecar/forward.rs
+++ b/crates/celerycove-daemon/src/sidecar/forward.rs
@@ -18,6 +18,7 @@
     body::{Frame, Incoming, SizeHint},
     header::{HeaderName, HeaderValue},
 };
+use hyper_util::client::legacy::connect::{CaptureConnection, capture_connection};
 use tokio::sync::{Notify, oneshot};
 
 use super::{Sidecar, job};
@@ -116,16 +117,17 @@
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
             .insert(dispatch.clone(), abort.clone());
-        let Some(outgoing) = self.backend_request(request) else {
+        let Some(mut outgoing) = self.backend_request(request) else {
             slot.finish(None);
             return self.refuse(StatusCode::BAD_REQUEST, "malformed");
         };
+        let connection = capture_connection(&mut outgoing);
         let sent = tokio::select! {
             sent = self.client.request(outgoing) => sent,
             () = abort.notified() => return self.unknown_response("cancelled"),
         };
         match sent {
-            Ok(response) => self.relay_response(response, slot, &dispatch, waited),
+            Ok(response) => self.relay_response(response, slot, &dispatch, waited, &connection),
             Err(error) if error.is_connect() => {
                 slot.finish(Some(Sample::Failed));
                 self.refuse(StatusCode::SERVICE_UNAVAILABLE, "unreachable")
@@ -180,6 +182,7 @@
         mut slot: Slot,
         dispatch: &id::Request,
         waited: Duration,
+        connection: &CaptureConnection,
     ) -> Response<Body> {
         let status = response.status();
         let echoed_id = response.headers().get("x-request-id");
@@ -187,19 +190,23 @@
             log::error!(target: "queue", backend:% = self.id, dispatch:% = dispatch;
                 "the backend server answered with the id of another request");
             slot.finish(Some(Sample::Failed));
+            retire(connection);
             return self.unknown_response("crossed_answer");
         }
         if !is_final(status.as_u16()) {
             log::warn!(target: "queue", backend:% = self.id, dispatch:% = dispatch, status:% = status;
                 "the backend server answered with an invalid status");
             slot.finish(Some(Sample::Failed));
+            retire(connection);
             return self.unknown_response("invalid_status");
         }
         self.record_boot_id(response.headers());
         let overloaded = matches!(status.as_u16(), 429 | 503);
         if overloaded && self.kind == Kind::Engine {
-            // An engine answers these statuses only before it runs a request.
+            // An engine answers these statuses only before it runs a request. A copy of the refusal may
+            // follow, and an engine need not name the request.
             slot.finish(Some(Sample::Failed));
+            retire(connection);
             return self.refuse(StatusCode::SERVICE_UNAVAILABLE, "overloaded");
         }
         if status.is_server_error() {
@@ -249,6 +256,14 @@
     }
 }
 
+/// Keeps a connection from being used again: what still arrives on it could be taken for the answer to
+/// another request.
+fn retire(connection: &CaptureConnection) {
+    if let Some(connected) = connection.connection_metadata().as_ref() {
+        connected.poison();
+    }
+}
+
 fn insert_header(headers: &mut HeaderMap, name: &'static str, value: &str) {
     if let Ok(value) = HeaderValue::from_str(value) {
         headers.insert(HeaderName::from_static(name), value);
--- a/crates/celerycove-daemon/tests/sidecar.rs
+++ b/crates/celerycove-daemon/tests/sidecar.rs
@@ -23,6 +23,9 @@
 };
 
 const ENGINE: &str = "engine-a";
+const REFUSAL: &str = "HTTP/1.1 503 Busy\r\ncontent-length: 4\r\n\r\nbusy";
+/// How long after a refusal its copy is written: the next request has been sent by then.
+const COPY_DELAY: Duration = Duration::from_millis(100);
 
 /// Passes requests to the sidecar, as the internal listener does.
 struct Forward(Arc<Sidecars>);
@@ -40,6 +43,8 @@
 /// What an engine does with the requests on one connection.
 #[derive(Debug, Clone, Copy)]
 enum Fault {
+    /// It refuses the first, writes the refusal once more, and runs all others without an answer.
+    RepeatsRefusal,
     /// It runs the first, sends these bytes and closes the connection.
     Sends(&'static str),
 }
@@ -52,6 +57,14 @@
     }
     // The sidecar may close the connection.
     match fault {
+        Fault::RepeatsRefusal => {
+            let _ = stream.write_all(REFUSAL.as_bytes()).await;
+            tokio::time::sleep(COPY_DELAY).await;
+            let _ = stream.write_all(REFUSAL.as_bytes()).await;
+            while let Ok(1..) = stream.read(&mut bytes).await {
+                *runs.lock().expect("a lock") += 1;
+            }
+        }
         Fault::Sends(text) => {
             *runs.lock().expect("a lock") += 1;
             let _ = stream.write_all(text.as_bytes()).await;
@@ -138,3 +151,21 @@
         assert_eq!((status.as_u16(), run.as_str()), (502, "unknown"), "{text}");
     }
 }
+
+/// Guards against an earlier refusal that an engine writes once more on a kept connection being taken for
+/// that of the next request, which the engine runs.
+#[tokio::test]
+async fn a_refusal_that_is_written_once_more_is_read_by_no_other_request() {
+    let runs = Runs::default();
+    let sidecar = start_sidecar(start_engine(Fault::RepeatsRefusal, runs.clone()).await).await;
+    for number in 0..4 {
+        let (_, refused) = send(&sidecar, &format!("refused-{number}.0")).await;
+        assert_eq!(refused, "not-run");
+        let began = *runs.lock().expect("a lock");
+        let (_, run) = send(&sidecar, &format!("next-{number}.0")).await;
+        tokio::time::sleep(COPY_DELAY * 2).await;
+        let ended = *runs.lock().expect("a lock");
+        assert!(run != "not-run" || began == ended, "request {number} ran");
+    }
+    sidecar.close().await;
+}
