fix(gateway): pass on no status that promises more than the backend server stated

Callers saw (shown here): 503, 429 or 408 for a request that may have run. They take these statuses for "not run, try again".

Cause: a response that named the request and stated no refusal was passed on whatever its status.

Change: for requests that may not be repeated, such a response fails the attempt as one that may have run (502).

--- a/crates/celerycove-gateway/src/entry/attempt.rs
+++ b/crates/celerycove-gateway/src/entry/attempt.rs
@@ -242,6 +242,12 @@
             self.end_ticket(ticket, Answer::Failed);
             return self.reject_response(choice, head.status, FOREIGN);
         }
+        if promises_not_run(head.status) && !self.route.is_repeatable() {
+            self.end_ticket(ticket, Answer::Failed);
+            self.record_attempt(&choice, Outcome::Erred, "unfounded refusal", &head.status);
+            self.exclude_after_send(choice);
+            return AttemptOutcome::MayHaveRun(Refusal::Failed);
+        }
         self.sent += 1;
         ticket.note_head(head.status.is_server_error());
         if let Some(load) = metadata.load {
@@ -303,6 +309,16 @@
     }
 }
 
+/// Whether callers take the status for the statement that the request has not run.
+fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 /// Reports an attempt to the backend selection as abandoned if it is dropped in flight, because the
 /// caller disconnected.
 pub(super) struct InFlightGuard {
--- a/crates/celerycove-gateway/tests/callers/invalid.rs
+++ b/crates/celerycove-gateway/tests/callers/invalid.rs
@@ -1,4 +1,4 @@
-//! Responses with an invalid status, and refusals that belong to no request in flight.
+//! Responses with an invalid status, and refusals that belong to no request in flight or state nothing.
 
 use std::time::Duration;
 
@@ -84,3 +84,27 @@
         });
     }
 }
+
+/// Guards against a status by which an entry promises that a request has not run, taken over from a backend
+/// server that states nothing of the kind.
+#[test]
+fn a_status_that_promises_too_much_is_not_passed_on() {
+    fleet::run(async |deployment: &Deployment| {
+        for (number, response) in [
+            "HTTP/1.1 503 Busy\r\nid: {id}\r\ncontent-length: 0\r\n\r\n",
+            "HTTP/1.1 429 Busy\r\nid: {id}\r\ncontent-length: 0\r\n\r\n",
+            "HTTP/1.1 408 Slow\r\nid: {id}\r\ncontent-length: 0\r\n\r\n",
+        ]
+        .into_iter()
+        .enumerate()
+        {
+            for path in ["/once/x", "/kept/x"] {
+                deployment.set_failures([Failure::Raw(response)]);
+                let id = format!("promise-{number}");
+                let reply = deployment.call(&id, path, Some("key-1")).await;
+                assert_eq!(reply.status, 502, "{path} {response}");
+                assert_eq!(reply.answers, None);
+            }
+        }
+    });
+}
