fix(gateway): continue a stream only with a stream

Callers saw (reported elsewhere, shown here): the text of a plain response with status 200 as an event in the middle of their stream, or a stream that ended as complete with an empty one or a 204.

Cause: the rest of a broken stream was taken from any response with a status of success; only the first response was checked for its type. After an error no other server was asked, and the error was dropped without an outcome.

Change: only a stream of events with the same status continues a stream. Anything else is recorded as an error of its server, and the next one is asked as long as the request may be retried.

--- a/crates/celerycove-gateway/src/entry/relay.rs
+++ b/crates/celerycove-gateway/src/entry/relay.rs
@@ -9,6 +9,7 @@
 use celerycove_turn::{End, Keep};
 use celerycove_types::{Timestamp, id};
 use http_body_util::BodyExt;
+use hyper::StatusCode;
 
 use super::{
     attempt::InFlightGuard,
@@ -16,7 +17,7 @@
     events::{Held, Splitter},
     exchange::{Dispatch, Exchange},
     outbox,
-    response::keeps_alive,
+    response::{is_event_stream, keeps_alive},
     rollout::Ticket,
     turns::Client as TurnClient,
 };
@@ -91,6 +92,8 @@
     pub(super) dispatch: Dispatch,
     pub(super) reservation: Option<ReservationGuard>,
     pub(super) retained: Option<RetainedTurn>,
+    /// The status that the caller got.
+    pub(super) status: StatusCode,
     /// Tokens counted per event.
     pub(super) event_tokens: id::Tokens,
     pub(super) last_event: Option<u64>,
@@ -162,6 +165,20 @@
 }
 
 impl Dispatch {
+    /// Records a response that does not continue a stream, such as an error.
+    fn reject_continuation(&mut self, exchange: Exchange) {
+        let Exchange {
+            choice,
+            head,
+            ticket,
+            ..
+        } = exchange;
+        let label = "no continuation";
+        self.record_attempt(&choice, Outcome::Erred, label, &head.status);
+        self.end_ticket(ticket, Answer::Failed);
+        self.excluded.push(choice.backend);
+    }
+
     /// Logs that long events of other streams take the memory, and returns how the stream ends.
     fn no_room_for_events(&self) -> Stop {
         self.entry.log_no_room(Part::Events);
@@ -179,24 +196,20 @@
     }
 
     async fn run(mut self, exchange: Exchange, sender: outbox::Sender) {
-        let mut next_exchange = Some(exchange);
+        let mut exchange = exchange;
         let stop = loop {
-            let Some(exchange) = next_exchange.take() else {
-                break Stop::Broken("nowhere to go on");
-            };
             let stop = self.forward(exchange, &sender).await;
             if !matches!(stop, Stop::Broken(_)) || !self.dispatch.may_retry() {
                 break stop;
             }
             let resumed = tokio::select! {
                 () = sender.closed() => break Stop::CallerLeft,
-                resumed = self.dispatch.begin_response(self.last_event) => resumed,
+                resumed = self.resume() => resumed,
             };
-            // Only a stream can continue the response; a status can't be sent to the caller any
-            // more.
-            next_exchange = resumed
-                .ok()
-                .filter(|exchange| exchange.head.status.is_success());
+            match resumed {
+                Some(resumed) => exchange = resumed,
+                None => break Stop::Broken("nowhere to go on"),
+            }
         };
         if stop == Stop::Whole {
             let generated = self.event_count * self.event_tokens;
@@ -215,6 +228,21 @@
         }
     }
 
+    /// Requests the rest of the stream from other backend servers; `None` if none of them continues it.
+    async fn resume(&mut self) -> Option<Exchange> {
+        loop {
+            let exchange = self.dispatch.begin_response(self.last_event).await.ok()?;
+            // The caller has the head of the response already, so nothing else can be passed on.
+            if exchange.head.status == self.status && is_event_stream(&exchange.head) {
+                return Some(exchange);
+            }
+            self.dispatch.reject_continuation(exchange);
+            if !self.dispatch.may_retry() {
+                return None;
+            }
+        }
+    }
+
     async fn forward(&mut self, exchange: Exchange, sender: &outbox::Sender) -> Stop {
         let Exchange {
             choice,
--- a/crates/celerycove-gateway/src/entry/response.rs
+++ b/crates/celerycove-gateway/src/entry/response.rs
@@ -50,6 +50,13 @@
     Ok(Bytes::from_owner(Counted { bytes, _room: room }))
 }
 
+/// Returns whether a response is a stream of events.
+pub(super) fn is_event_stream(head: &Parts) -> bool {
+    let kind = head.headers.get(header::CONTENT_TYPE);
+    let is_events = kind.is_some_and(|kind| kind.as_bytes().starts_with(b"text/event-stream"));
+    is_events && head.status.is_success()
+}
+
 /// Returns whether a length or chunks mark the end of a response. Others end with their connection.
 pub(super) fn is_delimited(head: &Parts) -> bool {
     let has_no_body = matches!(
--- a/crates/celerycove-gateway/src/entry/serve.rs
+++ b/crates/celerycove-gateway/src/entry/serve.rs
@@ -27,6 +27,7 @@
     hop::strip_hop_by_hop,
     rate_limit::Claim,
     relay::{Relay, ReservationGuard, RetainedTurn},
+    response::is_event_stream,
     urgency::Turn,
 };
 use crate::{
@@ -391,12 +392,7 @@
         pass.record_sent(&dispatch);
     }
     let exchange = dispatch.begin_response(dispatch.call.last_event).await?;
-    let is_stream = exchange
-        .head
-        .headers
-        .get(header::CONTENT_TYPE)
-        .is_some_and(|kind| kind.as_bytes().starts_with(b"text/event-stream"));
-    if !is_stream || !exchange.head.status.is_success() {
+    if !is_event_stream(&exchange.head) {
         let response = dispatch.buffer(exchange).await;
         let response = response.map_err(|_| Refusal::Failed)?;
         return Ok(complete_response(&dispatch, response));
@@ -406,6 +402,7 @@
     let mut head = exchange.head.clone();
     strip_hop_by_hop(&mut head.headers);
     let relay = Relay {
+        status: head.status,
         last_event: dispatch.call.last_event,
         dispatch,
         reservation: reservation.take(),
--- a/crates/celerycove-gateway/tests/callers/fleet.rs
+++ b/crates/celerycove-gateway/tests/callers/fleet.rs
@@ -307,6 +307,13 @@
         *self.failures.lock().expect("a lock") = failures.into();
     }
 
+    /// Starts a further backend server, which fails like the others.
+    pub async fn start_backend(&self, name: &'static str) -> Backend {
+        let backend = Backend::start(name, self.failures.clone()).await;
+        self.send_heartbeat(&backend, "ready", 1).await;
+        backend
+    }
+
     pub async fn send_heartbeat(&self, backend: &Backend, stage: &str, seq: u64) {
         let body = format!("{} {stage} {seq}", backend.address);
         let path = format!("/beat/{}", backend.name);
--- a/crates/celerycove-gateway/tests/callers/invalid.rs
+++ b/crates/celerycove-gateway/tests/callers/invalid.rs
@@ -1,4 +1,5 @@
-//! Responses with an invalid status, and refusals that belong to no request in flight or state nothing.
+//! Responses with an invalid status, refusals that belong to no request in flight or state nothing, and
+//! errors in place of the rest of a stream.
 
 use std::time::Duration;
 
@@ -108,3 +109,48 @@
         }
     });
 }
+
+/// What a backend server may answer in place of the rest of a stream.
+const NO_CONTINUATIONS: [&str; 8] = [
+    "HTTP/1.1 500 Error\r\nid: {id}\r\ncontent-length: 15\r\n\r\nerror: broken\n\n",
+    "HTTP/1.1 503 Busy\r\nid: {id}\r\ndeclined: 1\r\ncontent-length: 6\r\n\r\nbusy\n\n",
+    "HTTP/1.1 404 None\r\nid: {id}\r\ncontent-type: text/event-stream\r\n\r\ndata: none\n\n",
+    "HTTP/1.1 200 OK\r\nid: {id}\r\ncontent-type: text/plain\r\ncontent-length: 15\r\n\r\nerror: broken\n\n",
+    "HTTP/1.1 200 OK\r\nid: {id}\r\ncontent-type: text/plain\r\ncontent-length: 0\r\n\r\n",
+    "HTTP/1.1 204 None\r\nid: {id}\r\ncontent-type: text/event-stream\r\n\r\n",
+    "HTTP/1.1 206 Part\r\nid: {id}\r\ncontent-type: text/event-stream\r\n\r\ndata: part\n\n",
+    "error: broken\n\n",
+];
+
+/// Guards against an error in place of the rest of a broken stream: its text, its head or its end taken
+/// for the stream's own.
+#[test]
+fn an_error_in_place_of_the_rest_of_a_stream_is_not_passed_on() {
+    fleet::run(async |deployment: &Deployment| {
+        let expected = b"id: 1\ndata: one\n\nid: 2\ndata: two\n\n";
+        for (number, response) in NO_CONTINUATIONS.into_iter().enumerate() {
+            deployment.set_failures([Failure::TruncateStream, Failure::Raw(response)]);
+            let id = format!("stream-{number}");
+            let reply = deployment.stream(&id, "/resumable/x").await;
+            assert_eq!(reply.status, 200);
+            assert!(!reply.complete, "{response}");
+            assert_eq!(reply.body, expected, "{response}");
+        }
+    });
+}
+
+/// Guards against an error that ends a stream although another backend server could continue it.
+#[test]
+fn a_stream_goes_on_at_a_third_server_after_an_error_of_the_second() {
+    fleet::run(async |deployment: &Deployment| {
+        let third = deployment.start_backend("b3").await;
+        for (number, response) in NO_CONTINUATIONS.into_iter().enumerate() {
+            deployment.set_failures([Failure::TruncateStream, Failure::Raw(response)]);
+            let id = format!("stream-{number}");
+            let reply = deployment.stream(&id, "/resumable/x").await;
+            assert!(reply.complete, "{response}");
+            assert_eq!(reply.events(), ["1:one", "2:two", "3:three"], "{response}");
+        }
+        drop(third);
+    });
+}
