test: a response whose head is cut short is no answer, whole or in place of the rest of a stream

Other operators saw a 200 with an empty or short body after an engine had stopped in the middle of its answer's head. It can't happen here: hyper gives no head before its empty line. At an entry the test cuts a head in its status line and at the ends of all its lines, by a close and by a reset, for plain requests, kept turns and the rest of a stream; at a sidecar in six places by a close.

--- a/crates/celerycove-daemon/tests/sidecar.rs
+++ b/crates/celerycove-daemon/tests/sidecar.rs
@@ -152,6 +152,22 @@
     }
 }
 
+/// Guards against an answer whose head is cut short being passed on as a whole one.
+#[tokio::test]
+async fn an_answer_with_a_cut_head_may_have_run() {
+    for text in [
+        "",
+        "HTTP/1.1 200 O",
+        "HTTP/1.1 200 OK\r\n",
+        "HTTP/1.1 200 OK\r\ncontent-length: 1",
+        "HTTP/1.1 200 OK\r\ncontent-length: 16\r\n",
+        "HTTP/1.1 200 OK\r\ncontent-length: 16\r\n\r",
+    ] {
+        let (status, run) = outcome(text).await;
+        assert_eq!((status.as_u16(), run.as_str()), (502, "unknown"), "{text}");
+    }
+}
+
 /// Guards against an earlier refusal that an engine writes once more on a kept connection being taken for
 /// that of the next request, which the engine runs.
 #[tokio::test]
--- a/crates/celerycove-gateway/tests/callers/backend.rs
+++ b/crates/celerycove-gateway/tests/callers/backend.rs
@@ -63,6 +63,8 @@
     /// Sends these bytes, in which `{id}` stands for the identifier of the request, and closes the
     /// connection.
     Raw(&'static str),
+    /// Sends as many bytes of the head of a response and closes the connection, or resets it.
+    CutHead(usize, End),
     /// Sends a whole response and, some time later, these bytes.
     LateBytes(&'static str),
 }
@@ -74,6 +76,10 @@
     Reset,
 }
 
+/// The head of a response of which [`Failure::CutHead`] sends a part.
+pub const CUT_HEAD: &str = "HTTP/1.1 200 OK\r\nid: {id}\r\ncontent-type: text/event-stream\r\n\
+    content-length: 18\r\n\r\n";
+
 /// A request that a backend server executed.
 #[derive(Debug, Clone, Default)]
 pub struct ExecutedRequest {
@@ -284,6 +290,10 @@
             let text = text.replace("{id}", &request.id);
             return send_and_end(stream, &text, End::Closed).await;
         }
+        if let Some(Failure::CutHead(length, end)) = failure {
+            let head = CUT_HEAD.replace("{id}", &request.id);
+            return send_and_end(stream, &head[..length.min(head.len() - 1)], end).await;
+        }
         if failure == Some(Failure::EndlessInterim) {
             send_without_end(&mut stream, "HTTP/1.1 100 Continue\r\n\r\n").await;
             return;
--- a/crates/celerycove-gateway/tests/callers/invalid.rs
+++ b/crates/celerycove-gateway/tests/callers/invalid.rs
@@ -1,10 +1,11 @@
-//! Responses with an invalid status, refusals that belong to no request in flight or state nothing, and
-//! errors in place of the rest of a stream.
+//! Responses with an invalid status, refusals that belong to no request in flight or state nothing, errors
+//! in place of the rest of a stream, and heads that are cut short.
 
 use std::time::Duration;
 
 use crate::{
-    backend::Failure,
+    backend::{CUT_HEAD, End, Failure},
+    call_status,
     fleet::{self, Deployment},
 };
 
@@ -154,3 +155,31 @@
         drop(third);
     });
 }
+
+/// Guards against a response whose head is cut short being passed on as a whole one with an empty or short
+/// body.
+#[test]
+fn a_head_that_is_cut_short_is_no_answer() {
+    fleet::run(async |deployment: &Deployment| {
+        let ends = CUT_HEAD.match_indices("\r\n").map(|(at, _)| at);
+        let lengths = ends.flat_map(|at| [at - 1, at, at + 1, at + 2, at + 3]);
+        for length in [1, 8, 9, 12, 13].into_iter().chain(lengths) {
+            for end in [End::Closed, End::Reset] {
+                let cut = Failure::CutHead(length, end);
+                for path in ["/once/x", "/kept/x"] {
+                    deployment.set_failures([cut]);
+                    let reply = deployment.call("once", path, Some("key-1")).await;
+                    assert_eq!((reply.status, reply.answers), (502, None), "{cut:?} {path}");
+                }
+                deployment.set_failures([cut]);
+                let reply = deployment.call("again", "/plain/x", Some("key-1")).await;
+                assert_eq!((reply.status, &reply.body[..]), (200, &b"answer"[..]));
+                deployment.set_failures([Failure::TruncateStream, cut]);
+                let reply = deployment.stream("stream", "/resumable/x").await;
+                assert!(!reply.complete, "{cut:?}");
+                assert_eq!(reply.events(), ["1:one", "2:two"], "{cut:?}");
+            }
+        }
+        assert_eq!(call_status(deployment, "last").await, 200);
+    });
+}
