--- a/crates/celerycove-gateway/tests/callers/invalid.rs
+++ b/crates/celerycove-gateway/tests/callers/invalid.rs
@@ -9,6 +9,9 @@
     fleet::{self, Deployment},
 };
 
+/// Longer than an entry keeps an idle connection to a backend server that announces no idle timeout.
+const UNUSED_FOR: Duration = Duration::from_millis(3_100);
+
 /// Responses with a status that is no final one.
 const INVALID_STATUSES: [&str; 7] = [
     "HTTP/1.1 000 None\r\nid: {id}\r\ncontent-length: 6\r\n\r\nbroken",
@@ -87,6 +90,25 @@
     }
 }
 
+/// Guards against a request that is given up though its backend server has refused it, without an identifier,
+/// on a connection that has carried nothing else.
+#[test]
+fn a_refusal_without_an_identifier_on_a_new_connection_is_believed() {
+    const REFUSAL: Failure =
+        Failure::Raw("HTTP/1.1 503 No\r\ndeclined: 1\r\ncontent-length: 0\r\n\r\n");
+    fleet::run(async |deployment: &Deployment| {
+        tokio::time::sleep(UNUSED_FOR).await;
+        deployment.set_failures([REFUSAL]);
+        let reply = deployment.call("r1", "/once/x", Some("key-1")).await;
+        assert_eq!((reply.status, &reply.body[..]), (200, &b"answer"[..]));
+        tokio::time::sleep(UNUSED_FOR).await;
+        deployment.set_failures([REFUSAL, REFUSAL]);
+        let reply = deployment.call("r2", "/once/x", Some("key-1")).await;
+        assert_eq!(reply.status, 503);
+        assert!(reply.retry_after.is_some());
+    });
+}
+
 /// Guards against a status by which an entry promises that a request has not run, taken over from a backend
 /// server that states nothing of the kind.
 #[test]
