--- a/crates/celerycove-soak/src/run.rs
+++ b/crates/celerycove-soak/src/run.rs
@@ -155,7 +155,13 @@
     /// `limit`.
     async fn await_service(&self, limit: Duration) {
         let started = Instant::now();
-        self.configure(0).await;
+        while !self.configure(0).await {
+            if started.elapsed() > limit {
+                let seen = format!("no configuration was acknowledged within {limit:?}");
+                self.checker.record_violation("recovers", seen);
+                return;
+            }
+        }
         let mut caller = self.caller(0);
         let mut served = 0;
         while served < REQUIRED_PROGRAMS {
@@ -182,8 +188,9 @@
     }
 
     /// Sends a new configuration, to one control instance after another, until one acknowledges it
-    /// or `CONFIG_ATTEMPTS` is reached. `first` is the index of the instance to begin with.
-    async fn configure(&self, first: usize) {
+    /// or `CONFIG_ATTEMPTS` is reached. `first` is the index of the instance to begin with. Returns whether
+    /// it was acknowledged.
+    async fn configure(&self, first: usize) -> bool {
         let version = {
             let mut versions = self.config_versions.lock().await;
             versions.sent += 1;
@@ -201,17 +208,18 @@
                 Ok(Ok((200, _))) => {
                     let mut versions = self.config_versions.lock().await;
                     versions.acknowledged = versions.acknowledged.max(version);
-                    return;
+                    return true;
                 }
                 Ok(Ok((status, _))) if (400..500).contains(&status) => {
                     let seen = format!("version {version} was rejected with status {status}");
                     self.checker
                         .record_violation("valid configurations are taken", seen);
-                    return;
+                    return false;
                 }
                 Ok(_) | Err(_) => sleep(RETRY_INTERVAL).await,
             }
         }
+        false
     }
 
     /// Reads the configuration at one control instance and checks that it is not older than the
@@ -364,6 +372,16 @@
         self.fleet.lock().await.spawn(name)
     }
 
+    /// Kills all processes and waits until they have exited: the next run uses the same addresses.
+    async fn end_processes(&self) -> std::io::Result<()> {
+        let mut fleet = self.fleet.lock().await;
+        let names: Vec<Name> = fleet.names().collect();
+        for name in names {
+            fleet.kill(name).await?;
+        }
+        Ok(())
+    }
+
     /// Starts all stopped processes, resumes the suspended ones and removes all network faults.
     /// Records a violation for each process that exited by itself.
     async fn end_faults(&self) -> std::io::Result<()> {
@@ -436,6 +454,7 @@
         );
     }
     poller.abort();
+    testbed.end_processes().await?;
     let violations = testbed.checker.violations_at_end();
     run_dir.keep = !violations.is_empty();
     Ok(Outcome {
