test(review): a lost disk beside a frozen machine takes the configuration

A core machine freezes for 3.2 s and is replaced; a second one loses its disk before the successor has a vote. The log has no leader for good, the acknowledged configuration can't be read back and no change is accepted.

Nothing is fixed.

--- a/review/lib-4/deployment.py
+++ b/review/lib-4/deployment.py
@@ -179,6 +179,12 @@
         if self.processes[name].poll() is None:
             self.processes[name].send_signal(number)
 
+    def lose_disk(self, name):
+        """Kills a process and removes its data folder; it is started again with `spawn`."""
+        self.processes[name].kill()
+        self.processes[name].wait()
+        shutil.rmtree(os.path.join(self.directory, name, "data"), ignore_errors=True)
+
     def ended(self):
         return [name for name, process in self.processes.items() if process.poll() is not None]
 
