--- a/review/lib-4/deployment.py
+++ b/review/lib-4/deployment.py
@@ -1,7 +1,7 @@
 """A small deployment on loopback addresses: the project's processes, and stand-ins for the rest.
 
 The processes are started with the commands of deploy/system.toml (entry, control and store of
-celerycove-node), with settings like those of the zasoby-zilina site. Servers, clients and the
+celerycove-node), with settings like those of the jidlingua-brno site. Servers, clients and the
 operator are asyncio stand-ins that speak HTTP/1.1 as PROTOCOL.md says.
 """
 
@@ -80,7 +80,7 @@
 class Deployment:
     """The processes: in each zone one control instance, one store and some entries."""
 
-    def __init__(self, zones=("a", "b", "c"), entries=1):
+    def __init__(self, zones=("a", "b", "c", "d"), entries=1):
         self.net = random.randrange(10, 240)
         self.zones = list(zones)
         self.directory = tempfile.mkdtemp(prefix="celerycove-review-")
@@ -114,15 +114,15 @@
             "serves": {"entry": "front", "control": "control", "store": "storage"}[role],
             "ip": ip,
             "zone": zone,
-            "region": "sk-central",
-            **{f"zones.{each}": "sk-central" for each in self.zones},
+            "region": "cz-central",
+            **{f"zones.{each}": "cz-central" for each in self.zones},
             "internal_ports": f"{self.ports['internal']},{self.ports['internal'] + 15}",
             "seeds": ",".join(seeds),
             "bootstrap": "true" if bootstrap else "false",
             "in_fault_budget": "false" if role == "entry" else "true",
             "limits.cpu_share": "0.45",
             "limits.cores": "1",
-            "limits.memory_mb": "110",
+            "limits.memory_mb": "260",
             "limits.max_fds": "4100",
             "limits.link_mbps": "1000.0",
             "limits.disk_mb": "64",
@@ -135,7 +135,7 @@
             "fault_tolerance.regions": "0",
             "bounds.contact_ms": "3000",
             "bounds.ack_ms": "4000",
-            "bounds.catch_up_s": "4.1",
+            "bounds.catch_up_s": "4.7",
             "bounds.drain_ms": "2000",
             "bounds.grace_s": "8",
             "bounds.loss_slack_ms": "200",
@@ -264,7 +264,7 @@
 def configuration():
     """A configuration with one route for streams that may be resumed, as PROTOCOL.md shows it."""
     engine = {
-        "slots": 64, "kv_capacity": 171099, "kv_token_bytes": 163840, "link_mbps": 550000.0, "moves": True,
+        "slots": 64, "kv_capacity": 217590, "kv_token_bytes": 163840, "link_mbps": 550000.0, "moves": True,
         "backups": True, "stride_tokens": 3, "most": 12, "pin_ms": 4000.0, "hold_ms": 2000.0, "handle_s": 5.0,
         "models": [{"name": "m"}],
     }
@@ -273,7 +273,7 @@
         "routes": [
             {
                 "name": "r-draft", "host": "draft.example", "path_prefix": "/draft/", "kind": "streaming",
-                "timeout_ms": 5000, "target_latency_ms": 200, "priority": 1, "service": "llm", "max_attempts": 2,
+                "timeout_ms": 6000, "target_latency_ms": 200, "priority": 1, "service": "llm", "max_attempts": 2,
                 "retained": False, "retention_s": 60.0, "public": False, "sticky": True, "resumable": True,
                 "target_gap_ms": 500,
             },
@@ -295,7 +295,7 @@
     }
 
 
-def turn_request(request_id, number, most=33, deadline_ms=5000):
+def turn_request(request_id, number, most=33, deadline_ms=6000):
     """The bytes of a client's turn on the route for streams."""
     body = b"x" * 5100
     head = (
