--- a/review/13/case.py
+++ b/review/13/case.py
@@ -25,7 +25,7 @@
     writer.write(turn_request(request, number))
     await writer.drain()
     record(f"client sends {request} to {front[0]}")
-    status, _, body, complete = await read_answer(reader, 6.0)
+    status, _, body, complete = await read_answer(reader, 7.0)
     writer.close()
     events = body.count(b"data: ")
     record(f"client gets {status} for {request}: {events} events, complete {complete}")
