--- a/review/11/case.py
+++ b/review/11/case.py
@@ -19,10 +19,10 @@
 # By round: which machine freezes, which one loses its disk, and how long after the freeze began. The
 # deployments begin with different rounds.
 ROUNDS = [
-    ("a", "b", 2.3), ("b", "a", 2.55), ("c", "b", 2.2), ("a", "c", 2.8), ("b", "c", 2.2), ("c", "a", 2.4),
+    ("a", "b", 2.6), ("b", "a", 2.85), ("c", "b", 2.5), ("a", "c", 3.1), ("b", "c", 2.5), ("c", "a", 2.7),
 ]
 ROUNDS_PLAYED = 4
-FREEZE = 3.2
+FREEZE = 3.5
 DISK_AWAY = 2.0
 # From the sheet: how long after all machines are back everything works again, and how long the operator asks.
 RECOVERY, ASKING = 12.0, 3.0
