fix(control): add a successor with a vote before the other member is removed

Cause: a silent member was removed first, and its successor was added before it had a vote. Until it has one, a lost disk leaves fewer votes than a majority of the members, and an instance without a vote gets it only from a confirmed leader. A retirement added first, but without a vote: of four members three must agree.

The leader now brings the successor up to date as a learner, which counts in no majority; adds it once it may vote and lacks at most one message of the log; and removes the other member only then. Adding an instance that isn't caught up is refused. An addition that isn't committed when a leader loses its majority is taken back, as a removal was. With 2n+1 members, and 2n+2 during the change, all with votes, n lost disks leave n+1 (n+2) votes, which are a majority. The learner begins at half of the silence timeout, so that members are replaced as soon as before.

--- a/crates/celerycove-control/src/membership.rs
+++ b/crates/celerycove-control/src/membership.rs
@@ -28,74 +28,133 @@
     pub silence_timeout: Duration,
 }
 
-/// Plans the next change, of a single member; `None` if no change is needed or possible.
+/// What a leader knows of the members of its log.
+#[derive(Debug, Clone, Copy)]
+pub struct Current<'a> {
+    /// The members, as of the last entry in the log.
+    pub members: &'a Members,
+    /// The instances that stated lately that they may vote; see [`Node::voters`](crate::Node::voters).
+    pub voters: &'a Members,
+    /// The instance that the leader brings up to date.
+    pub learner: Option<&'a Learner>,
+}
+
+/// An instance that a leader brings up to date, so that it can become a member.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Learner {
+    /// The instance.
+    pub process: id::Process,
+    /// Whether it may vote and holds nearly all of the log.
+    pub caught_up: bool,
+}
+
+/// The next step towards the desired members.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Plan {
+    /// The instance to bring up to date; see [`Event::Learn`](crate::Event::Learn).
+    pub learner: Option<id::Process>,
+    /// The members after the next change, of a single member; `None` if no change is possible now.
+    pub members: Option<Members>,
+}
+
+/// The change that brings the members closer to the desired ones.
+enum Change {
+    /// None is due yet, but this instance is likely to be added next.
+    Prepare(id::Process),
+    Add(id::Process),
+    Remove(id::Process),
+}
+
+/// Plans the next step.
 ///
-/// A lost member is removed before its successor is added: the removal needs no vote beyond the
-/// quorum that exists, while adding first would need the successor's vote. No change is made if
-/// reachable `voters` would not be a majority of the new members: the change could not be
-/// committed, and members that may not vote could not become voters.
+/// The successor of a lost or retiring member is brought up to date, then added, and only then is the
+/// other one removed: at no moment do fewer instances hold a vote, so that the members bear the loss
+/// of as many disks as before. No change is made if reachable `voters` would not be a majority of the
+/// new members: the change could not be committed, and members that may not vote could not become
+/// voters.
 #[must_use]
 pub fn plan(
     own_id: &id::Process,
-    members: &Members,
-    voters: &Members,
+    current: Current<'_>,
     candidates: &BTreeMap<id::Process, Candidate>,
     options: Options,
-) -> Option<Members> {
+) -> Plan {
     let is_reachable = |member: &&id::Process| {
         let candidate = candidates.get(*member);
         *member == own_id
             || candidate.is_some_and(|candidate| candidate.silent_for < options.silence_timeout)
     };
-    let reachable_voters =
-        |planned: &Members| planned.intersection(voters).filter(is_reachable).count();
-    let planned = next_members(own_id, members, candidates, options)?;
-    (reachable_voters(&planned) > planned.len() / 2).then_some(planned)
+    let can_commit = |planned: &Members| {
+        let voters = planned.intersection(current.voters);
+        voters.filter(is_reachable).count() > planned.len() / 2
+    };
+    let mut plan = match next_change(own_id, current, candidates, options) {
+        None => Plan::default(),
+        Some(Change::Prepare(successor)) => Plan {
+            learner: Some(successor),
+            members: None,
+        },
+        Some(Change::Add(successor)) => {
+            let learner = current.learner.filter(|learner| learner.caught_up);
+            let is_ready = learner.is_some_and(|learner| learner.process == successor);
+            Plan {
+                members: is_ready.then(|| with_member(current.members, &successor)),
+                learner: Some(successor),
+            }
+        }
+        Some(Change::Remove(member)) => Plan {
+            learner: None,
+            members: Some(without_member(current.members, &member)),
+        },
+    };
+    plan.members = plan.members.filter(can_commit);
+    plan
 }
 
-/// Plans the next change regardless of whether it can be committed.
-fn next_members(
+/// Returns the next change, regardless of whether it can be committed.
+fn next_change(
     own_id: &id::Process,
-    members: &Members,
+    current: Current<'_>,
     candidates: &BTreeMap<id::Process, Candidate>,
     options: Options,
-) -> Option<Members> {
-    let is_lost = |member: &&id::Process| {
-        let candidate = candidates.get(*member);
-        *member != own_id
-            && candidate.is_none_or(|candidate| candidate.silent_for >= options.silence_timeout)
+) -> Option<Change> {
+    let members = current.members;
+    let is_silent = |member: &id::Process, timeout: Duration| {
+        let candidate = candidates.get(member);
+        member != own_id && candidate.is_none_or(|candidate| candidate.silent_for >= timeout)
     };
+    let is_lost = |member: &&id::Process| is_silent(member, options.silence_timeout);
     let is_retiring = |member: &&id::Process| {
         candidates
             .get(*member)
             .is_some_and(|candidate| candidate.retiring)
     };
-    let successor = successor(members, candidates, options);
-    if members.len() < options.target
-        && let Some(successor) = &successor
-    {
-        return Some(with_member(members, successor));
-    }
+    let lost = members.iter().find(is_lost);
+    let retiring = members.iter().find(is_retiring);
     if members.len() > options.target {
-        let surplus = members.iter().find(is_retiring);
-        let surplus = surplus.or_else(|| members.iter().find(is_lost));
+        let surplus = retiring.or(lost);
         let surplus = surplus.or_else(|| most_crowded_member(own_id, members, candidates));
-        return surplus.map(|member| without_member(members, member));
+        return surplus.cloned().map(Change::Remove);
     }
-    if let Some(member) = members.iter().find(is_lost) {
-        return successor.map(|_| without_member(members, member));
-    }
-    if let Some(member) = members.iter().find(is_retiring) {
-        // The successor, if there is one, is added first, so that the number of copies never drops.
-        // Without one, removing a retiring member loses nothing as long as a majority of other
-        // members remains.
-        return match successor {
-            Some(successor) => Some(with_member(members, &successor)),
-            None if members.len() > 2 => Some(without_member(members, member)),
-            None => None,
-        };
+    let Some(successor) = successor(current, candidates, options) else {
+        // Removing a retiring member loses nothing as long as a majority of other members remains.
+        let dispensable = retiring.filter(|_| members.len() > 2 && lost.is_none());
+        return dispensable.cloned().map(Change::Remove);
+    };
+    let is_due = members.len() < options.target
+        || lost.is_some()
+        || retiring.is_some()
+        || is_unbalanced(own_id, members, candidates, &successor);
+    // A member that falls silent may be lost: its successor needs time to catch up.
+    let may_be_due = || {
+        let mut members = members.iter();
+        members.any(|member| is_silent(member, options.silence_timeout / 2))
+    };
+    if is_due {
+        Some(Change::Add(successor))
+    } else {
+        may_be_due().then_some(Change::Prepare(successor))
     }
-    rebalance(own_id, members, candidates, successor)
 }
 
 /// Whether an instance may be taken away together with its disk: it is not a member, and the members
@@ -177,23 +236,26 @@
     counts
 }
 
-/// Returns the instance to add next: a reachable one, in the data centre with the fewest members.
+/// Returns the instance to add next: a reachable one, the learner if possible, or else in the data
+/// centre with the fewest members.
 fn successor(
-    members: &Members,
+    current: Current<'_>,
     candidates: &BTreeMap<id::Process, Candidate>,
     options: Options,
 ) -> Option<id::Process> {
-    let counts = members_per_data_centre(members, candidates);
+    let counts = members_per_data_centre(current.members, candidates);
+    let learner = current.learner.map(|learner| &learner.process);
     candidates
         .iter()
         .filter(|(name, candidate)| {
-            !members.contains(*name)
+            !current.members.contains(*name)
                 && !candidate.retiring
                 && candidate.silent_for < options.silence_timeout / 2
         })
         .min_by_key(|(name, candidate)| {
             let count = counts.get(&candidate.data_centre).copied();
-            (count.unwrap_or_default(), (*name).clone())
+            let is_learner = learner == Some(*name);
+            (!is_learner, count.unwrap_or_default(), (*name).clone())
         })
         .map(|(name, _)| name.clone())
 }
@@ -212,19 +274,20 @@
     })
 }
 
-/// Adds the successor if the most crowded data centre has at least two members more than the
-/// successor's one. The surplus member is removed from it by the next change.
-fn rebalance(
+/// Whether the most crowded data centre has at least two members more than the successor's one. The
+/// surplus member is removed from it once the successor is added.
+fn is_unbalanced(
     own_id: &id::Process,
     members: &Members,
     candidates: &BTreeMap<id::Process, Candidate>,
-    successor: Option<id::Process>,
-) -> Option<Members> {
-    let successor = successor?;
+    successor: &id::Process,
+) -> bool {
     let counts = members_per_data_centre(members, candidates);
-    let target = &candidates.get(&successor)?.data_centre;
-    let surplus = most_crowded_member(own_id, members, candidates)?;
-    let source = &candidates.get(surplus)?.data_centre;
-    let count = |data_centre: &id::DataCentre| counts.get(data_centre).copied().unwrap_or_default();
-    (count(source) >= count(target) + 2).then(|| with_member(members, &successor))
+    let count = |process: &id::Process| {
+        let data_centre = &candidates.get(process)?.data_centre;
+        Some(counts.get(data_centre).copied().unwrap_or_default())
+    };
+    let surplus = most_crowded_member(own_id, members, candidates);
+    let counts = surplus.and_then(count).zip(count(successor));
+    counts.is_some_and(|(source, target)| source >= target + 2)
 }
--- a/crates/celerycove-control/src/node.rs
+++ b/crates/celerycove-control/src/node.rs
@@ -8,16 +8,16 @@
 
 use crate::{
     log::{Command, Entry, Index, Members, Term, Usage},
-    message::{Body, Message, Round},
+    membership::Learner,
+    message::{Body, Message},
     raft::Raft,
     role::{self, Input},
     state::State,
     storage::{Error, Storage},
 };
 
-/// A member that has acknowledged none of this many rounds may have lost its disk, and with it its
-/// vote, in the meantime. Replies that take a few heartbeat intervals still count.
-const RECENT_ROUNDS: Round = 5;
+/// Why a leader refuses to add an instance that it has not brought up to date; see [`Event::Learn`].
+pub const NOT_CAUGHT_UP: &str = "the new member has not caught up yet";
 
 /// Identifies a proposal, so that its answer can be matched to it.
 pub type Token = u64;
@@ -69,6 +69,9 @@
     },
     /// Commands were proposed; they are written together.
     Propose(Vec<Proposed>),
+    /// A leader is to bring this instance up to date, so that it can become a member, in place of an
+    /// earlier one; none if `None`. Other instances ignore it, and a new leader begins without one.
+    Learn(Option<id::Process>),
 }
 
 /// The result of a proposed command.
@@ -180,6 +183,7 @@
         match event {
             Event::Tick => self.dispatch(&Input::Tick, &mut actions),
             Event::Propose(proposed) => self.dispatch(&Input::Propose(proposed), &mut actions),
+            Event::Learn(learner) => self.dispatch(&Input::Learn(learner), &mut actions),
             Event::Message { from, message } => self.handle_message(from, message, &mut actions),
         }
         self.dispatch(&Input::TakeActions, &mut actions);
@@ -291,19 +295,26 @@
         self.machine.members_index <= self.machine.commit_index
     }
 
-    /// On a leader, the members that stated in one of the last rounds that they may vote, itself
-    /// included. Older statements don't count, as a member can lose its disk, and with it the right
-    /// to vote, at any time.
+    /// On a leader, the members and the learner that stated in one of the last rounds that they may
+    /// vote, itself included. Older statements don't count, as an instance can lose its disk, and with
+    /// it the right to vote, at any time.
     #[must_use]
     pub fn voters(&self) -> Members {
-        let min_round = self.machine.round.saturating_sub(RECENT_ROUNDS);
         let peers = self.machine.progress.iter();
-        let voters = peers.filter(|(_, peer)| peer.voter && peer.acked_round >= min_round);
+        let voters = peers.filter(|(_, peer)| self.machine.is_recent_voter(peer));
         let own = self.is_leader().then(|| self.machine.own_id.clone());
         voters.map(|(peer, _)| peer.clone()).chain(own).collect()
     }
 
-    /// On a leader, when each of the other members last replied to it. A member whose storage failed
+    /// On a leader, the instance that it brings up to date.
+    #[must_use]
+    pub fn learner(&self) -> Option<Learner> {
+        let process = self.machine.learner.clone().filter(|_| self.is_leader())?;
+        let caught_up = self.machine.has_caught_up(&process);
+        Some(Learner { process, caught_up })
+    }
+
+    /// On a leader, when each of the other members and the learner last replied to it. One whose storage failed
     /// does not reply, though its process runs.
     #[must_use]
     pub fn replied_at(&self) -> BTreeMap<id::Process, Timestamp> {
--- a/crates/celerycove-control/src/raft.rs
+++ b/crates/celerycove-control/src/raft.rs
@@ -76,6 +76,9 @@
     pub(crate) members: Members,
     /// The index of the entry, or of the snapshot, that [`members`](Self::members) are from.
     pub(crate) members_index: Index,
+    /// On a leader, the instance that it brings up to date so that it can become a member. A learner
+    /// counts for no quorum.
+    pub(crate) learner: Option<id::Process>,
     pub(crate) leader: Option<id::Process>,
     pub(crate) now: Timestamp,
     pub(crate) election_deadline: Timestamp,
@@ -154,6 +157,7 @@
             snapshot_members: snapshot.members.clone(),
             members: snapshot.members,
             members_index: snapshot.index,
+            learner: None,
             leader: None,
             now,
             election_deadline: now,
--- a/crates/celerycove-control/src/replicate.rs
+++ b/crates/celerycove-control/src/replicate.rs
@@ -5,7 +5,7 @@
 use crate::{
     log::{Command, Entry, Index, Log, Members, Term},
     message::{Body, Round},
-    node::{Action, Answer, Options, Proposed},
+    node::{Action, Answer, NOT_CAUGHT_UP, Options, Proposed},
     raft::{Progress, Raft},
     storage::{Ballot, Snapshot},
 };
@@ -22,6 +22,9 @@
 const PROBE_TIMEOUT_HEARTBEATS: u32 = 3;
 /// The maximum number of unacknowledged rounds whose start times a leader keeps.
 const MAX_PENDING_ROUNDS: usize = 64;
+/// An instance that has acknowledged none of this many rounds may have lost its disk, and with it its
+/// vote, in the meantime. Replies that take a few heartbeat intervals still count.
+const RECENT_ROUNDS: Round = 5;
 
 impl Raft {
     /// Resets the leader's state after an election and commits a first entry of the new term.
@@ -31,6 +34,7 @@
         self.confirmed_round = 0;
         self.round_starts.clear();
         self.progress.clear();
+        self.learner = None;
         self.own_term_start = self.log.last_index() + 1;
         self.last_contact = Some(self.now);
         // An instance that catches up from the log, without a snapshot, gets the members from this
@@ -45,6 +49,7 @@
         self.own_term_start = Index::MAX;
         self.quorum_confirmed_at = None;
         self.outgoing_snapshot = None;
+        self.learner = None;
         self.abandon_pending_proposals();
         self.restart_election_timer();
     }
@@ -64,11 +69,9 @@
                 continue;
             }
             if let Command::Members(members) = &command
-                && !self.is_valid_member_change(members)
+                && let Err(reason) = self.check_member_change(members)
             {
-                let answer = Answer::Refused(
-                    "another change of members is under way, or more than one instance would change",
-                );
+                let answer = Answer::Refused(reason);
                 self.actions.push(Action::Answer { token, answer });
                 continue;
             }
@@ -83,34 +86,84 @@
         self.advance_commit_index();
     }
 
-    /// Checks that a change adds or removes a single member, and that the one before it is
-    /// committed.
-    fn is_valid_member_change(&self, members: &Members) -> bool {
+    /// Checks that a change adds or removes a single member, that the one before it is committed, and
+    /// that an added member can vote at once: until it can, the loss of a disk could leave too few votes.
+    fn check_member_change(&self, members: &Members) -> Result<(), &'static str> {
         let no_pending_change = self
             .log
             .iter()
             .filter(|entry| entry.index > self.commit_index)
             .all(|entry| !matches!(entry.command, Command::Members(_)));
         let changed = self.members.symmetric_difference(members).count();
-        no_pending_change
+        let is_allowed = no_pending_change
             && self.commit_index >= self.own_term_start
             && changed == 1
-            && !members.is_empty()
+            && !members.is_empty();
+        if !is_allowed {
+            return Err(
+                "another change of members is under way, or more than one instance would change",
+            );
+        }
+        let mut added = members.difference(&self.members);
+        if added.all(|member| self.has_caught_up(member)) {
+            Ok(())
+        } else {
+            Err(NOT_CAUGHT_UP)
+        }
     }
 
-    /// Returns to the committed members if this leader has removed one and the removal is not
-    /// committed, so that the removed member can vote in the next election.
+    /// Returns to the committed members if this leader has changed them and the change is not
+    /// committed, so that the next election depends on no vote of an added member and a removed one
+    /// can vote in it.
     ///
-    /// Majorities of the members with and without the removed one overlap, so a log that ends with
-    /// the removal can't win against this one unnoticed.
-    pub(crate) fn revoke_pending_removal(&mut self) {
+    /// Majorities of the members with and without the changed one overlap, so a log that ends with
+    /// the change can't win against this one unnoticed.
+    pub(crate) fn revoke_pending_change(&mut self) {
         let committed = self.members_at(self.commit_index);
         let is_own_change = self.commit_index >= self.own_term_start;
-        if is_own_change && self.members.len() < committed.len() {
+        if is_own_change && self.members != committed {
             self.append_commands(vec![Command::Members(committed)]);
         }
     }
 
+    /// Begins to bring an instance that is not a member up to date, in place of an earlier one.
+    pub(crate) fn set_learner(&mut self, learner: Option<id::Process>) {
+        let learner = learner.filter(|name| !self.members.contains(name) && *name != self.own_id);
+        if self.learner == learner {
+            return;
+        }
+        self.learner = learner;
+        self.refresh_progress();
+        self.release_outgoing_snapshot();
+        self.start_heartbeat_round();
+    }
+
+    /// Whether an instance may vote, and what it lacks of the log fits into one message.
+    pub(crate) fn has_caught_up(&self, process: &id::Process) -> bool {
+        let Some(progress) = self.progress.get(process) else {
+            return false;
+        };
+        let missing = self
+            .log
+            .bytes_in(progress.match_index, self.log.last_index());
+        self.is_recent_voter(progress)
+            && progress.match_index >= self.log.snapshot_index()
+            && missing <= MAX_MESSAGE_BYTES
+    }
+
+    /// Whether an instance stated in one of the last rounds that it may vote.
+    pub(crate) fn is_recent_voter(&self, peer: &Progress) -> bool {
+        peer.voter && peer.acked_round >= self.round.saturating_sub(RECENT_ROUNDS)
+    }
+
+    /// Returns the progress of the other members that may vote.
+    fn voting_members(&self) -> impl Iterator<Item = &Progress> {
+        let peers = self.progress.iter();
+        peers
+            .filter(|(name, peer)| peer.voter && self.members.contains(*name))
+            .map(|(_, peer)| peer)
+    }
+
     fn append_commands(&mut self, commands: Vec<Command>) {
         let first = self.log.last_index() + 1;
         let term = self.ballot.term;
@@ -125,10 +178,13 @@
         self.append(&entries);
     }
 
-    /// Starts to track the progress of added members and drops that of removed ones.
+    /// Starts to track the progress of added members and of the learner, and drops that of removed ones.
     fn refresh_progress(&mut self) {
         let next_index = self.log.last_index() + 1;
-        let peers = self.peers();
+        let members = &self.members;
+        self.learner.take_if(|learner| members.contains(learner));
+        let mut peers = self.peers();
+        peers.extend(self.learner.clone());
         self.progress.retain(|peer, _| peers.contains(peer));
         for peer in peers {
             let (last_sent_at, replied_at) = (self.now, self.now);
@@ -142,7 +198,8 @@
                 probe_sent_at: None,
                 probe_round: 0,
                 snapshot_position: None,
-                min_valid_round: 0,
+                // Earlier replies may be from before the instance lost its disk.
+                min_valid_round: self.round + 1,
             });
         }
     }
@@ -162,7 +219,8 @@
     }
 
     fn replicate(&mut self) {
-        for peer in self.peers() {
+        let peers: Vec<id::Process> = self.progress.keys().cloned().collect();
+        for peer in peers {
             self.replicate_to(&peer);
         }
     }
@@ -320,8 +378,7 @@
 
     /// Records the latest round that a quorum has acknowledged, and when it started.
     pub(crate) fn update_confirmed_round(&mut self) {
-        let voters = self.progress.values().filter(|peer| peer.voter);
-        let mut rounds: Vec<Round> = voters.map(|peer| peer.acked_round).collect();
+        let mut rounds: Vec<Round> = self.voting_members().map(|peer| peer.acked_round).collect();
         if self.is_member() {
             rounds.push(self.round);
         }
@@ -338,7 +395,7 @@
     /// Commits the entries that a quorum holds, provided that the last of them is of the leader's
     /// own term.
     fn advance_commit_index(&mut self) {
-        let voters = self.progress.values().filter(|peer| peer.voter);
+        let voters = self.voting_members();
         let mut match_indexes: Vec<Index> = voters.map(|peer| peer.match_index).collect();
         if self.is_member() {
             match_indexes.push(self.log.last_index());
@@ -434,7 +491,7 @@
     /// The vote of the current term is set to the leader, so that the instance can't vote for
     /// another candidate in this term.
     fn try_become_voter(&mut self, leader_commit: Index, confirmed: Round) {
-        if self.ballot.voter || self.commit_index < leader_commit || !self.is_member() {
+        if self.ballot.voter || self.commit_index < leader_commit {
             return;
         }
         let first_round = self
--- a/crates/celerycove-control/src/role.rs
+++ b/crates/celerycove-control/src/role.rs
@@ -25,6 +25,8 @@
     NewerTerm(Term),
     Message(id::Process, Message),
     Propose(Vec<Proposed>),
+    /// Names the instance to bring up to date, if any.
+    Learn(Option<id::Process>),
 }
 
 #[state_machine(
@@ -84,7 +86,7 @@
     fn leader(&mut self, event: &Input) -> Outcome<State> {
         match event {
             Input::Tick if self.has_quorum_timed_out() || self.is_removed() => {
-                self.revoke_pending_removal();
+                self.revoke_pending_change();
                 self.leader = None;
                 Transition(State::follower())
             }
@@ -96,6 +98,10 @@
                 self.propose(proposed.clone());
                 Handled
             }
+            Input::Learn(learner) => {
+                self.set_learner(learner.clone());
+                Handled
+            }
             Input::Message(from, message) if message.term == self.ballot.term => {
                 match &message.body {
                     Body::AppendReply {
@@ -143,7 +149,7 @@
                 context.append(&mut self.actions);
                 Handled
             }
-            Input::Tick | Input::CountVotes => Handled,
+            Input::Tick | Input::CountVotes | Input::Learn(_) => Handled,
         }
     }
 
--- a/crates/celerycove-control/tests/replication.rs
+++ b/crates/celerycove-control/tests/replication.rs
@@ -1,56 +1,21 @@
 //! Replication to followers that lost their disk or lag behind, over a simulated network.
 
-use std::{
-    collections::VecDeque,
-    sync::{Arc, Mutex},
-    time::Duration,
-};
+#[path = "support/disk.rs"]
+mod disk;
+
+use std::{collections::VecDeque, time::Duration};
 
 use celerycove_control::{
-    Action, Command, Entry, Event, Message, Node, Options, Storage,
-    log::Members,
-    message::Body,
-    node::Proposed,
-    storage::{Ballot, Error, PersistentState, Snapshot},
+    Action, Command, Event, Message, Node, Options, log::Members, message::Body, node::Proposed,
 };
 use celerycove_turn::{End, Keep};
 use celerycove_types::{Timestamp, id};
 
+use crate::disk::Disk;
+
 const NAMES: [&str; 3] = ["a", "b", "c"];
 const TICK: Duration = Duration::from_millis(40);
 
-#[derive(Debug, Clone, Default)]
-struct Disk(Arc<Mutex<PersistentState>>);
-
-impl Storage for Disk {
-    fn load(&mut self) -> Result<PersistentState, Error> {
-        Ok(self.0.lock().expect("a disk").clone())
-    }
-
-    fn save_ballot(&mut self, ballot: &Ballot) -> Result<(), Error> {
-        self.0.lock().expect("a disk").ballot = Some(ballot.clone());
-        Ok(())
-    }
-
-    fn append(&mut self, entries: &[Entry]) -> Result<(), Error> {
-        let mut persisted = self.0.lock().expect("a disk");
-        for entry in entries {
-            persisted
-                .entries
-                .retain(|stored| stored.index < entry.index);
-            persisted.entries.push(entry.clone());
-        }
-        Ok(())
-    }
-
-    fn save_snapshot(&mut self, snapshot: &Snapshot, tail: &[Entry]) -> Result<(), Error> {
-        let mut persisted = self.0.lock().expect("a disk");
-        persisted.snapshot = Some(snapshot.clone());
-        persisted.entries = tail.to_vec();
-        Ok(())
-    }
-}
-
 struct Cluster {
     nodes: Vec<Option<Node>>,
     /// Messages in flight, with the indexes of the sender and the receiver.
--- a/crates/celerycove-daemon/src/control.rs
+++ b/crates/celerycove-daemon/src/control.rs
@@ -16,7 +16,7 @@
 use celerycove_control::{
     Action, Answer, Command, Event, Message, Node, Options,
     log::{Members, Term},
-    node::{Proposed, Token},
+    node::{NOT_CAUGHT_UP, Proposed, Token},
     storage,
 };
 use celerycove_disk::Store;
@@ -36,6 +36,10 @@
 const MAX_BATCH: usize = 256;
 /// How often an instance whose storage failed tries to recover it.
 const RECOVERY_INTERVAL: Duration = Duration::from_millis(500);
+/// How long an operator's request to add a member waits until that instance is up to date.
+const CATCH_UP_TIMEOUT: Duration = Duration::from_secs(3);
+/// How often such a request checks whether it is.
+const CATCH_UP_INTERVAL: Duration = Duration::from_millis(100);
 
 /// An error that prevents the instance from starting.
 #[derive(Debug, thiserror::Error)]
@@ -52,6 +56,7 @@
 enum Input {
     Messages(id::Process, Vec<Message>),
     Propose(Command, oneshot::Sender<Answer>),
+    Learn(id::Process),
 }
 
 /// Status of the instance, for the rest of the process.
@@ -158,6 +163,23 @@
         receiver.await.unwrap_or(Answer::Unknown)
     }
 
+    /// Has the leader bring an instance up to date, and then proposes the members with it. Returns the
+    /// refusal if that takes too long.
+    pub async fn add_member(&self, process: &id::Process) -> Answer {
+        let deadline = Instant::now() + CATCH_UP_TIMEOUT;
+        loop {
+            // The thread ends only with the process.
+            let _ = self.inputs.send(Input::Learn(process.clone()));
+            let mut members = self.summary().members.clone();
+            members.insert(process.clone());
+            let answer = self.propose(Command::Members(members)).await;
+            if answer != Answer::Refused(NOT_CAUGHT_UP) || Instant::now() >= deadline {
+                return answer;
+            }
+            tokio::time::sleep(CATCH_UP_INTERVAL).await;
+        }
+    }
+
     /// Returns the latest status of the instance.
     pub fn summary(&self) -> Arc<Summary> {
         self.summary.load_full()
@@ -219,7 +241,7 @@
                         // The proposer may have stopped waiting.
                         let _ = sender.send(Answer::NotLeader(None));
                     }
-                    Ok(Input::Messages(..)) | Err(RecvTimeoutError::Timeout) => {}
+                    Ok(Input::Messages(..) | Input::Learn(_)) | Err(RecvTimeoutError::Timeout) => {}
                     Err(RecvTimeoutError::Disconnected) => return false,
                 }
             }
@@ -263,6 +285,7 @@
                     self.pending.insert(token, sender);
                     proposals.push(Proposed { token, command });
                 }
+                Input::Learn(process) => self.step(Event::Learn(Some(process)))?,
             }
         }
         if proposals.is_empty() {
--- a/crates/celerycove-daemon/src/operator.rs
+++ b/crates/celerycove-daemon/src/operator.rs
@@ -208,13 +208,14 @@
     }
 
     async fn change_member(&self, change: operator::MemberChange) -> Result<(), ErrorObjectOwned> {
-        let mut members = self.control.summary().members.clone();
-        if change.add {
-            members.insert(change.process);
+        let answer = if change.add {
+            self.control.add_member(&change.process).await
         } else {
+            let mut members = self.control.summary().members.clone();
             members.remove(&change.process);
-        }
-        Self::check_answer(self.control.propose(Command::Members(members)).await)?;
+            self.control.propose(Command::Members(members)).await
+        };
+        Self::check_answer(answer)?;
         Ok(())
     }
 }
--- a/crates/celerycove-gateway/src/control/maintenance.rs
+++ b/crates/celerycove-gateway/src/control/maintenance.rs
@@ -5,10 +5,7 @@
     time::Duration,
 };
 
-use celerycove_control::{
-    log::Command as LogCommand,
-    membership::{self, Candidate},
-};
+use celerycove_control::membership::{self, Candidate};
 use celerycove_fleet::{Command, Fleet};
 use celerycove_types::{Timestamp, id};
 use futures_util::future::join_all;
@@ -236,15 +233,10 @@
         let peers = self.fleet_state.peers(Role::Control);
         let candidates = member_candidates(clock::now(), peers, &status, &BTreeSet::new());
         let me = self.setup.process();
-        if let Some(members) =
-            membership::plan(&me, &status.members, &status.voters, &candidates, options)
-        {
-            log::info!(target: "place", before:? = status.members, after:? = members;
-                "changing the members of the control log");
-            replica
-                .propose(LogCommand::Members(members), ROUND_INTERVAL * 4)
-                .await;
-        }
+        let plan = membership::plan(&me, status.current(), &candidates, options);
+        replica
+            .change_members(plan, "control", ROUND_INTERVAL * 4)
+            .await;
     }
 }
 
--- a/crates/celerycove-gateway/src/replica.rs
+++ b/crates/celerycove-gateway/src/replica.rs
@@ -9,6 +9,7 @@
 use celerycove_control::{
     Answer, Entry, Message, Node, Options, State,
     log::{Command, Members, Usage},
+    membership::{self, Learner},
     message::Body,
     storage::{Error, Storage},
 };
@@ -52,6 +53,7 @@
         room: Option<Room>,
     },
     Propose(Command, oneshot::Sender<Answer>),
+    Learn(Option<id::Process>),
 }
 
 /// The last published status of the replica.
@@ -69,8 +71,10 @@
     pub members: Members,
     /// Whether the change that led to these members is known to be committed.
     pub has_committed_members: bool,
-    /// On the leader: the members that have a vote.
+    /// On the leader: the members, and the learner, that have a vote.
     pub voters: Members,
+    /// On the leader: the instance that it brings up to date.
+    pub learner: Option<Learner>,
     /// On the leader: the latest time at which a quorum confirmed that it leads, so that its state
     /// was the newest then.
     pub confirmed_at: Option<Timestamp>,
@@ -79,12 +83,24 @@
     pub heard_at: Option<Timestamp>,
     /// How much the log holds in memory.
     pub log: Usage,
-    /// On the leader: when each of the other members last replied to it.
+    /// On the leader: when each of the other members, and the learner, last replied to it.
     pub replied_at: BTreeMap<id::Process, Timestamp>,
     /// Whether the replica takes no part in the log, since its storage failed and is not recovered.
     pub halted: bool,
 }
 
+impl Status {
+    /// What the leader knows of the members.
+    #[must_use]
+    pub fn current(&self) -> membership::Current<'_> {
+        membership::Current {
+            members: &self.members,
+            voters: &self.voters,
+            learner: self.learner.as_ref(),
+        }
+    }
+}
+
 /// Called with the state and its index after entries were applied.
 pub type ApplyCallback = Box<dyn Fn(&State, u64) + Send>;
 
@@ -221,6 +237,26 @@
         }
     }
 
+    /// Carries out a planned step: names the instance to bring up to date, and proposes the change of
+    /// the members, if there is one. `log` names the log in the process's log lines.
+    pub async fn change_members(&self, plan: membership::Plan, log: &str, timeout: Duration) {
+        let status = self.status();
+        let learner = status.learner.as_ref().map(|learner| &learner.process);
+        if plan.learner.as_ref() != learner {
+            log::info!(target: "place", log, before:? = learner, after:? = plan.learner,
+                voters:? = status.voters;
+                "changing the instance that is brought up to date");
+            // The replica has stopped if nobody receives the input.
+            let _ = self.inputs.send(Input::Learn(plan.learner)).await;
+        }
+        if let Some(members) = plan.members {
+            log::info!(target: "place", log, before:? = status.members, after:? = members,
+                voters:? = status.voters;
+                "changing the members of a log");
+            self.propose(Command::Members(members), timeout).await;
+        }
+    }
+
     /// Proposes a command and returns a receiver for its outcome, or `None` if the replica has
     /// stopped.
     pub async fn submit(&self, command: Command) -> Option<oneshot::Receiver<Answer>> {
--- a/crates/celerycove-gateway/src/replica/runner.rs
+++ b/crates/celerycove-gateway/src/replica/runner.rs
@@ -7,8 +7,8 @@
 };
 
 use celerycove_control::{
-    Action, Answer, Event, Message, Node, Options, log::Usage, message::Body, node::Proposed,
-    storage::Error,
+    Action, Answer, Event, Message, Node, Options, log::Usage, membership::Learner, message::Body,
+    node::Proposed, storage::Error,
 };
 use celerycove_log::limit::{Admitted, Limit};
 use celerycove_types::{Timestamp, id};
@@ -272,6 +272,7 @@
                     let token = self.last_token;
                     proposed.push(Proposed { token, command });
                 }
+                Input::Learn(learner) => self.handle(Event::Learn(learner))?,
             }
             if proposed.len() >= MAX_BATCH_COMMANDS {
                 break;
@@ -370,6 +371,16 @@
             log::info!(target: "log", leader:? = self.phase.node.leader(), term = self.phase.node.term();
                 "the leader changed");
         }
+        let learner = self.phase.node.learner();
+        let process = |learner: &Option<Learner>| {
+            let learner = learner.as_ref();
+            learner.map(|learner| learner.process.clone())
+        };
+        if before.learner != learner {
+            log::info!(target: "log", learner:? = process(&learner),
+                caught_up = learner.as_ref().is_some_and(|learner| learner.caught_up);
+                "the learner changed");
+        }
         self.replica.status.store(Arc::new(Status {
             is_leader: self.phase.node.is_leader(),
             leader: self.phase.node.leader().cloned(),
@@ -378,6 +389,7 @@
             members,
             has_committed_members: self.phase.node.has_committed_members(),
             voters: self.phase.node.voters(),
+            learner,
             confirmed_at: time_of(self.phase.node.staleness(now)),
             heard_at: time_of(self.phase.node.time_since_contact(now)),
             log: usage,
--- a/crates/celerycove-gateway/src/store.rs
+++ b/crates/celerycove-gateway/src/store.rs
@@ -180,15 +180,10 @@
             return;
         }
         let options = self.membership_options();
-        if let Some(members) =
-            membership::plan(&me, &status.members, &status.voters, &candidates, options)
-        {
-            log::info!(target: "place", before:? = status.members, after:? = members;
-                "changing the members of the stores' log");
-            replica
-                .propose(LogCommand::Members(members), ROUND_INTERVAL * 2)
-                .await;
-        }
+        let plan = membership::plan(&me, status.current(), &candidates, options);
+        replica
+            .change_members(plan, "stores", ROUND_INTERVAL * 2)
+            .await;
     }
 
     async fn handle_request(&self, request: RpcRequest) -> Reply {
--- a/crates/celerycove-proof/src/world/turns.rs
+++ b/crates/celerycove-proof/src/world/turns.rs
@@ -12,6 +12,7 @@
     log::{Command as LogCommand, Members},
     membership::{self, Candidate},
     node::Proposed,
+    storage::PersistentState,
 };
 use celerycove_turn::{Begin, Command, End, Keep, Outcome};
 use celerycove_types::{Timestamp, Violation, id};
@@ -262,6 +263,7 @@
         };
         let now = self.net.now();
         let (members, voters) = (node.members().clone(), node.voters());
+        let learner = node.learner();
         let candidates = (0..STORES).map(|process| {
             let heard = self
                 .last_heard
@@ -288,12 +290,16 @@
         };
         let plan = membership::plan(
             &process_id(to),
-            &members,
-            &voters,
+            membership::Current {
+                members: &members,
+                voters: &voters,
+                learner: learner.as_ref(),
+            },
             &candidates.collect(),
             options,
         );
-        if let Some(members) = plan {
+        self.step_store(to, Event::Learn(plan.learner));
+        if let Some(members) = plan.members {
             self.last_number += 1;
             let proposed = Proposed {
                 token: self.last_number,
@@ -510,29 +516,20 @@
         }
     }
 
-    /// Returns whether the disk of a store may be erased: all other members must be running voters
-    /// that have everything committed, so that at most one disk is missing at a time.
+    /// Returns whether the disk of a store may be erased: all others that are members by some disk, or
+    /// learners, must have a vote on theirs, so that at most one disk is missing at a time.
     fn can_lose_disk(&self, node: ProcessIndex) -> bool {
-        let leader = self.nodes.iter().flatten().find(|node| node.is_leader());
-        let Some(leader) = leader else { return false };
-        let members: BTreeSet<ProcessIndex> =
-            leader.members().iter().filter_map(process_index).collect();
-        let up_to_date = |process: &ProcessIndex| {
-            let store = self.nodes[*process].as_ref();
-            store.is_some_and(|store| {
-                store.commit_index() == leader.commit_index() && store.members() == leader.members()
-            })
-        };
         let is_voter = |process: &ProcessIndex| {
             let ballot = self.disks[*process].with(|disk| disk.durable.ballot.clone());
             ballot.is_some_and(|ballot| ballot.voter)
         };
-        let others: Vec<ProcessIndex> = members
-            .iter()
-            .copied()
-            .filter(|process| *process != node)
-            .collect();
-        members.len() == MEMBERS && others.iter().all(up_to_date) && others.iter().all(is_voter)
+        let disks = self.disks.iter();
+        let members = disks.flat_map(|disk| disk.with(|disk| members_on(&disk.durable)));
+        let learners = self.nodes.iter().flatten().filter_map(Node::learner);
+        let learners = learners.filter_map(|learner| process_index(&learner.process));
+        let others = members.chain(learners).filter(|process| *process != node);
+        let others: BTreeSet<ProcessIndex> = others.collect();
+        others.len() + 1 >= MEMBERS && others.iter().all(is_voter)
     }
 
     /// Stops all faults and checks that a turn of a new program ends.
@@ -594,3 +591,17 @@
         self.send_request(process, self.last_number, command);
     }
 }
+
+/// Returns the stores that were members as of any entry or snapshot on a disk.
+fn members_on(persisted: &PersistentState) -> BTreeSet<ProcessIndex> {
+    let of_snapshot = persisted.snapshot.iter().map(|snapshot| &snapshot.members);
+    let of_entries = persisted
+        .entries
+        .iter()
+        .filter_map(|entry| match &entry.command {
+            LogCommand::Members(members) => Some(members),
+            _ => None,
+        });
+    let members = of_snapshot.chain(of_entries).flatten();
+    members.filter_map(process_index).collect()
+}
