fix(entry): keep a silent stream until its server is gone or another one goes on

Cause: 1.2 s without an event counted as a failure, whatever the route's callers bear, and the connection was dropped before another server had taken the request ("nowhere to go on").

After 1.2 s the server's address is probed now; if it refuses or leaves two connections unanswered, the stream is resumed elsewhere at once. Otherwise others are asked after six tenths of the callers' patience (from the route's targets, at least 2 s), while the silent stream is read on: it is dropped only when another server answers, and the other attempt is cancelled if it goes on first. The log tells what the probe showed and whether others were asked, so that a server that is gone, one that hangs and one that pauses can be told apart.

Tests, each failed on: a_silent_stream_is_kept_if_no_other_engine_takes_it, a_stream_that_pauses_for_less_than_its_caller_bears_is_not_started_again (two runs instead of one) and a_silent_stream_that_goes_on_while_another_engine_is_asked_is_kept. The stand-in declines streams too now; until then a declined stream was served.

--- a/crates/celerycove-fleet/src/config.rs
+++ b/crates/celerycove-fleet/src/config.rs
@@ -65,6 +65,9 @@
     pub sticky: bool,
     /// Whether an interrupted stream may be resumed on another backend server.
     pub resumable: bool,
+    /// How long callers wait for the next event of a stream before they give it up.
+    #[serde(default = "Route::default_patience")]
+    pub caller_patience: Duration,
 }
 
 /// A group of interchangeable backend servers.
@@ -221,6 +224,12 @@
 }
 
 impl Route {
+    /// How long callers wait that are not known to wait for longer.
+    #[must_use]
+    pub const fn default_patience() -> Duration {
+        Duration::from_secs(2)
+    }
+
     fn check(&self, services: &BTreeSet<&ServiceName>) -> Result<(), Invalid> {
         if let Some(target) = self.targets.iter().find(|t| !services.contains(&t.service)) {
             return Err(Invalid::UnknownService {
--- a/crates/celerycove-fleet/tests/change.rs
+++ b/crates/celerycove-fleet/tests/change.rs
@@ -24,6 +24,7 @@
         anonymous: false,
         sticky: false,
         resumable: false,
+        caller_patience: Route::default_patience(),
     })
 }
 
--- a/crates/celerycove-fleet/tests/fleet.rs
+++ b/crates/celerycove-fleet/tests/fleet.rs
@@ -29,6 +29,7 @@
         anonymous: false,
         sticky: false,
         resumable: false,
+        caller_patience: Route::default_patience(),
     }
 }
 
--- a/crates/celerycove-gateway/src/entry.rs
+++ b/crates/celerycove-gateway/src/entry.rs
@@ -20,6 +20,7 @@
 mod response;
 mod rollout;
 mod serve;
+mod silence;
 mod socket;
 mod startup;
 mod stop;
--- a/crates/celerycove-gateway/src/entry/crashes.rs
+++ b/crates/celerycove-gateway/src/entry/crashes.rs
@@ -73,6 +73,17 @@
     Unclear,
 }
 
+impl Probe {
+    /// Returns the text for logs.
+    pub(super) fn label(self) -> &'static str {
+        match self {
+            Self::Accepted => "its backend server accepts connections",
+            Self::Refused => "its backend server refuses connections",
+            Self::Unclear => "its backend server does not answer",
+        }
+    }
+}
+
 /// Probes the address of a backend server.
 pub(super) async fn probe(address: SocketAddr) -> Probe {
     for delay in PROBE_DELAYS {
--- a/crates/celerycove-gateway/src/entry/events.rs
+++ b/crates/celerycove-gateway/src/entry/events.rs
@@ -107,6 +107,11 @@
         Ok(())
     }
 
+    /// Whether the buffer holds a whole event.
+    pub(super) fn has_event(&mut self) -> bool {
+        self.find_end().is_some()
+    }
+
     /// Removes and returns the next whole event.
     pub(super) fn next_event(&mut self) -> Option<Event> {
         let end = self.find_end()?;
--- a/crates/celerycove-gateway/src/entry/relay.rs
+++ b/crates/celerycove-gateway/src/entry/relay.rs
@@ -5,11 +5,11 @@
 
 use bytes::{Bytes, BytesMut};
 use celerycove_rollout::guide::Answer;
-use celerycove_route::direct::{Outcome, Run};
+use celerycove_route::direct::{Outcome, Run, Selection};
 use celerycove_turn::{End, Keep};
 use celerycove_types::{Timestamp, id};
 use http_body_util::BodyExt;
-use hyper::StatusCode;
+use hyper::{StatusCode, body::Incoming};
 
 use super::{
     attempt::InFlightGuard,
@@ -19,6 +19,7 @@
     outbox,
     response::{is_event_stream, keeps_alive},
     rollout::Ticket,
+    silence::Silence,
     turns::Client as TurnClient,
 };
 use crate::{
@@ -28,12 +29,15 @@
     memory::Part,
 };
 
-/// Gap between a stream's events after which it is resumed at another backend server, if it may be.
-const MAX_EVENT_GAP: Duration = Duration::from_millis(1_200);
-
 /// How a stream ends if its connection breaks: noticed as such, or by an event that is cut short.
 const CONNECTION_LOST: &str = "connection lost";
 const CUT_EVENT: &str = "stopped in an event";
+/// How a silent stream ends whose backend server has gone.
+const GONE: &str = "unreachable";
+/// How a silent stream ends that another backend server has taken over.
+const STALLED: &str = "stalled";
+/// How a stream ends that has an event without end.
+const NO_EVENTS: &str = "no stream of events";
 /// How a stream ends whose unfinished event finds no memory.
 const NO_ROOM: &str = "no memory for an event";
 
@@ -164,6 +168,46 @@
     }
 }
 
+/// How the forwarding of one backend server's stream ended.
+enum Forwarded {
+    Stopped(Stop),
+    /// Another backend server goes on with the stream.
+    Continued(Box<Exchange>),
+}
+
+/// The stream of one backend server, as it is read.
+struct Source {
+    choice: Selection,
+    body: Incoming,
+    splitter: Splitter,
+    silence: Silence,
+}
+
+/// What is read of a stream.
+enum Read {
+    Data(Bytes),
+    /// A frame without data.
+    Other,
+    End,
+    Failed,
+}
+
+/// What comes next of a stream.
+enum Next {
+    Read(Read),
+    /// The stream ended so; another backend server goes on with it.
+    Successor(&'static str, Box<Exchange>),
+    Stop(Stop),
+}
+
+async fn read(body: &mut Incoming) -> Read {
+    match body.frame().await {
+        None => Read::End,
+        Some(Err(_)) => Read::Failed,
+        Some(Ok(frame)) => frame.into_data().map_or(Read::Other, Read::Data),
+    }
+}
+
 impl Dispatch {
     /// Records a response that does not continue a stream, such as an error.
     fn reject_continuation(&mut self, exchange: Exchange) {
@@ -198,7 +242,13 @@
     async fn run(mut self, exchange: Exchange, sender: outbox::Sender) {
         let mut exchange = exchange;
         let stop = loop {
-            let stop = self.forward(exchange, &sender).await;
+            let stop = match self.forward(exchange, &sender).await {
+                Forwarded::Stopped(stop) => stop,
+                Forwarded::Continued(successor) => {
+                    exchange = *successor;
+                    continue;
+                }
+            };
             if !matches!(stop, Stop::Broken(_)) || !self.dispatch.may_retry() {
                 break stop;
             }
@@ -243,33 +293,32 @@
         }
     }
 
-    async fn forward(&mut self, exchange: Exchange, sender: &outbox::Sender) -> Stop {
+    async fn forward(&mut self, exchange: Exchange, sender: &outbox::Sender) -> Forwarded {
         let Exchange {
             choice,
             head,
             metadata,
-            mut body,
+            body,
             connection,
             sent_at,
             mut ticket,
         } = exchange;
         let guard = InFlightGuard::new(&self.dispatch, &choice);
-        let mut splitter = Splitter::new(self.dispatch.entry.connections.account());
-        let mut last_event_at = clock::now();
+        let mut source = Source {
+            choice: choice.clone(),
+            body,
+            splitter: Splitter::new(self.dispatch.entry.connections.account()),
+            silence: Silence::new(clock::now()),
+        };
         let mut has_data = false;
         let mut pace = Pace::new(sent_at, self.event_count > 0);
+        let mut successor = None;
         let stop = loop {
-            // Checked also while data arrives: it may never end, and need not consist of events.
-            if let Some(stop) = self.overdue(last_event_at) {
-                break stop;
-            }
-            let frame = tokio::select! {
-                () = sender.closed() => break Stop::CallerLeft,
-                frame = tokio::time::timeout(self.read_timeout(last_event_at), body.frame()) => frame,
-            };
-            match frame {
-                Err(_) => {}
-                Ok(None) => match splitter.into_rest() {
+            let data = match self.next(&mut source, sender).await {
+                Next::Read(Read::Data(data)) => data,
+                Next::Read(Read::Other) => continue,
+                Next::Read(Read::Failed) => break Stop::Broken(CONNECTION_LOST),
+                Next::Read(Read::End) => match source.splitter.into_rest() {
                     Some(rest) if rest.is_empty() => break Stop::Whole,
                     Some(rest) => match self.send(rest, sender).await {
                         Ok(()) => break Stop::Whole,
@@ -277,25 +326,28 @@
                     },
                     None => break Stop::Broken(CUT_EVENT),
                 },
-                Ok(Some(Err(_))) => break Stop::Broken(CONNECTION_LOST),
-                Ok(Some(Ok(frame))) => {
-                    let Some(data) = frame.data_ref() else {
-                        continue;
-                    };
-                    if !has_data {
-                        ticket.note_first_data(clock::now());
-                        has_data = true;
-                    }
-                    let event_count = self.event_count;
-                    let received_at = clock::now();
-                    if let Err(stop) = self.forward_events(&mut splitter, data, sender).await {
-                        break stop;
-                    }
-                    if self.event_count > event_count {
-                        last_event_at = clock::now();
-                        pace.record_events(received_at, last_event_at);
-                    }
+                Next::Successor(label, exchange) => {
+                    successor = Some(exchange);
+                    break Stop::Broken(label);
                 }
+                Next::Stop(stop) => break stop,
+            };
+            if !has_data {
+                ticket.note_first_data(clock::now());
+                has_data = true;
+            }
+            let event_count = self.event_count;
+            let received_at = clock::now();
+            if source.splitter.push(&data).is_err() {
+                break Stop::Broken(NO_EVENTS);
+            }
+            if let Err(stop) = self.forward_events(&mut source.splitter, sender).await {
+                break stop;
+            }
+            if self.event_count > event_count {
+                let forwarded_at = clock::now();
+                source.silence = Silence::new(forwarded_at);
+                pace.record_events(received_at, forwarded_at);
             }
         };
         guard.disarm();
@@ -338,29 +390,103 @@
             }
             _ => {}
         }
-        stop
+        successor.map_or(Forwarded::Stopped(stop), Forwarded::Continued)
     }
 
-    /// Returns the time limit for the next bytes.
-    fn read_timeout(&self, last_event_at: Timestamp) -> Duration {
-        let now = clock::now();
-        let left = self.dispatch.deadline.saturating_sub(now);
-        if self.dispatch.may_retry() {
-            left.min((last_event_at + MAX_EVENT_GAP).saturating_sub(now))
-        } else {
-            left
+    /// Waits for what comes next of a stream. Silence alone says little of the backend server: it may have
+    /// put the request back for more urgent ones. So a silent stream is given up only if the server is
+    /// gone, or once another one goes on with it.
+    async fn next(&mut self, source: &mut Source, sender: &outbox::Sender) -> Next {
+        loop {
+            // Checked also while data arrives: it may never end, and need not consist of events.
+            let now = clock::now();
+            if now >= self.dispatch.deadline {
+                return Next::Stop(Stop::TimedOut);
+            }
+            let mut wait = self.dispatch.deadline.saturating_sub(now);
+            if self.dispatch.may_retry() {
+                let patience = self.dispatch.route.caller_patience;
+                if source.silence.is_search_due(now, patience) {
+                    source.silence.is_searched = true;
+                    if let Some(next) = self.search(source, sender).await {
+                        return next;
+                    }
+                    continue;
+                }
+                if source.silence.is_probe_due(now) {
+                    source.silence.start_probe(source.choice.address);
+                }
+                let due = source.silence.next_due(patience);
+                wait = due.map_or(wait, |due| wait.min(due.saturating_sub(now)));
+            }
+            tokio::select! {
+                () = sender.closed() => return Next::Stop(Stop::CallerLeft),
+                read = read(&mut source.body) => return Next::Read(read),
+                probe = source.silence.probed() => {
+                    self.log_silence(source, probe.label());
+                    if source.silence.is_gone(probe, source.choice.address) && self.dispatch.may_retry() {
+                        return Next::Stop(Stop::Broken(GONE));
+                    }
+                }
+                () = tokio::time::sleep(wait) => {}
+            }
         }
     }
 
-    /// Returns how the stream ends if its deadline has expired, or if it may be resumed elsewhere and
-    /// the next event is overdue.
-    fn overdue(&self, last_event_at: Timestamp) -> Option<Stop> {
-        let now = clock::now();
-        if now >= self.dispatch.deadline {
-            return Some(Stop::TimedOut);
+    /// Asks other backend servers for the rest of a silent stream, until one goes on with it or the silence
+    /// ends; `None` if none of them takes it.
+    async fn search(&mut self, source: &mut Source, sender: &outbox::Sender) -> Option<Next> {
+        self.log_silence(source, "asking other backend servers");
+        self.dispatch.excluded.push(source.choice.backend.clone());
+        let mut broken = None;
+        let resumed = {
+            let resumed = self.resume();
+            tokio::pin!(resumed);
+            loop {
+                tokio::select! {
+                    () = sender.closed() => break Err(Next::Stop(Stop::CallerLeft)),
+                    resumed = &mut resumed => break Ok(resumed),
+                    read = read(&mut source.body), if broken.is_none() => match read {
+                        Read::Data(data) if source.splitter.push(&data).is_err() => {
+                            broken = Some(NO_EVENTS);
+                        }
+                        Read::Data(_) => {
+                            let is_held = source.splitter.hold_rest().is_ok();
+                            if source.splitter.has_event() || !is_held {
+                                break Err(Next::Read(Read::Data(Bytes::new())));
+                            }
+                        }
+                        Read::Other => {}
+                        Read::End => break Err(Next::Read(Read::End)),
+                        Read::Failed => broken = Some(CONNECTION_LOST),
+                    },
+                }
+            }
+        };
+        match (resumed, broken) {
+            (Ok(Some(exchange)), label) => {
+                let label = label.unwrap_or(STALLED);
+                Some(Next::Successor(label, Box::new(exchange)))
+            }
+            (Ok(None), Some(label)) => Some(Next::Stop(Stop::Broken(label))),
+            (Ok(None), None) => {
+                self.log_silence(source, "no other backend server takes it");
+                None
+            }
+            (Err(next), _) => {
+                // The attempt that is given up may have begun to run.
+                self.dispatch.sent += 1;
+                self.log_silence(source, "it goes on");
+                Some(next)
+            }
         }
-        let is_stalled = now >= last_event_at + MAX_EVENT_GAP && self.dispatch.may_retry();
-        is_stalled.then_some(Stop::Broken("stalled"))
+    }
+
+    fn log_silence(&self, source: &Source, what: &'static str) {
+        let silent = clock::now().saturating_sub(source.silence.since);
+        log::info!(target: "stream", request:% = self.dispatch.request,
+            backend:% = source.choice.backend, events = self.event_count,
+            silent_ms = clock::millis(silent); "the stream is silent: {what}");
     }
 
     /// Whether the turn has generated all the tokens that it may: a sound engine ends the stream
@@ -373,16 +499,12 @@
             .is_some_and(|(reservation, most)| reservation.spent >= most)
     }
 
-    /// Forwards the events that are complete with `data`.
+    /// Forwards the events that are complete.
     async fn forward_events(
         &mut self,
         splitter: &mut Splitter,
-        data: &Bytes,
         sender: &outbox::Sender,
     ) -> Result<(), Stop> {
-        splitter
-            .push(data)
-            .map_err(|_| Stop::Broken("no stream of events"))?;
         let mut out = BytesMut::new();
         while let Some(event) = splitter.next_event() {
             match (event.id, self.last_event) {
--- a/crates/celerycove-gateway/tests/callers/backend.rs
+++ b/crates/celerycove-gateway/tests/callers/backend.rs
@@ -41,6 +41,8 @@
     TrickleStream,
     /// Sends a whole stream with a pause of this many milliseconds before each event but the first.
     PauseStream(u64),
+    /// Sends a whole stream with a pause of this many milliseconds before its second event.
+    PauseOnce(u64),
     /// Sends events of a stream, or bytes of a plain response, until the connection is closed.
     EndlessBody,
     /// Sends header fields until the connection is closed.
@@ -308,7 +310,10 @@
         if let Some(Failure::Late(delay_ms)) = failure {
             tokio::time::sleep(Duration::from_millis(delay_ms)).await;
         }
-        let keep_open = if request.path.starts_with("/plain") || request.path.starts_with("/once") {
+        let is_answered_at_once = request.path.starts_with("/plain")
+            || request.path.starts_with("/once")
+            || failure == Some(Failure::Decline);
+        let keep_open = if is_answered_at_once {
             respond(&mut stream, &request, failure).await
         } else {
             state.open_streams.fetch_add(1, SeqCst);
@@ -420,6 +425,10 @@
                 }
                 return None;
             }
+            Some(Failure::PauseOnce(pause_ms)) if index == 1 => {
+                tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+                write_chunk(stream, event).await?;
+            }
             Some(Failure::PauseStream(pause_ms)) if index > 0 => {
                 tokio::time::sleep(Duration::from_millis(pause_ms)).await;
                 write_chunk(stream, event).await?;
--- a/crates/celerycove-gateway/tests/callers/dialect.rs
+++ b/crates/celerycove-gateway/tests/callers/dialect.rs
@@ -233,5 +233,6 @@
         anonymous: false,
         sticky: false,
         resumable: kind == "resumable",
+        caller_patience: Duration::from_secs(3),
     })
 }
--- a/crates/celerycove-gateway/tests/callers/misbehaviour.rs
+++ b/crates/celerycove-gateway/tests/callers/misbehaviour.rs
@@ -128,6 +128,54 @@
     });
 }
 
+/// Guards against an answer that ends because its engine is silent: a stream was given up after 1.2 s
+/// before another engine had taken it.
+#[test]
+fn a_silent_stream_is_kept_if_no_other_engine_takes_it() {
+    fleet::run(async |deployment: &Deployment| {
+        let mut failures = vec![Failure::Decline; 9];
+        failures[0] = Failure::PauseOnce(2_500);
+        deployment.set_failures(failures);
+        let reply = deployment.stream("s1", "/resumable/x").await;
+        assert!(reply.complete);
+        assert_eq!(reply.events(), ["1:one", "2:two", "3:three"]);
+        assert_eq!(deployment.executed_requests().len(), 1);
+    });
+}
+
+/// Guards against a second engine that works on a stream while the first one does: callers wait for three
+/// seconds here, so a pause of 1.7 seconds is no reason to ask one.
+#[test]
+fn a_stream_that_pauses_for_less_than_its_caller_bears_is_not_started_again() {
+    fleet::run(async |deployment: &Deployment| {
+        deployment.set_failures([Failure::PauseOnce(1_700)]);
+        let reply = deployment.stream("s1", "/resumable/x").await;
+        assert!(reply.complete);
+        assert_eq!(reply.events(), ["1:one", "2:two", "3:three"]);
+        assert_eq!(deployment.executed_requests().len(), 1);
+    });
+}
+
+/// Guards against events that come twice if an engine goes on while another one is asked.
+#[test]
+fn a_silent_stream_that_goes_on_while_another_engine_is_asked_is_kept() {
+    fleet::run(async |deployment: &Deployment| {
+        deployment.set_failures([Failure::PauseOnce(2_300), Failure::Silence]);
+        let reply = deployment.stream("s1", "/resumable/x").await;
+        assert!(reply.complete);
+        assert_eq!(reply.events(), ["1:one", "2:two", "3:three"]);
+        let closed = async {
+            while deployment.backend.silent_connections() + deployment.spare.silent_connections()
+                > 0
+            {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        };
+        let closed = tokio::time::timeout(Duration::from_secs(1), closed).await;
+        assert!(closed.is_ok(), "the other engine still works on it");
+    });
+}
+
 #[test]
 fn a_turn_whose_engine_is_silent_for_a_while_is_neither_given_up_nor_started_again() {
     fleet::run(async |deployment: &Deployment| {
