fix(entry): don't give up an attempt for its silence if no other server can take it

Callers saw 502 after three target latencies (at least 0.45 s) from a route whose only server would have answered later, and the same 1.5 s after a resumable stream was requested.

It is now given up after that time only if another server has room by what the entry knows, checked every 200 ms, or if a probe of the server's address shows that it is gone. All attempts may last until the deadline of the request otherwise.

an_only_backend_server_that_answers_late_is_waited_for failed on (502 instead of 200) and passes; with it ran the tests of hedged, silent and resumed requests in gateway/tests/callers (10 passed).

--- a/crates/celerycove-gateway/src/entry/attempt.rs
+++ b/crates/celerycove-gateway/src/entry/attempt.rs
@@ -9,13 +9,13 @@
 use celerycove_types::{Timestamp, id, status::is_final};
 use http_body_util::Full;
 use hyper::{Request, Response, StatusCode, body::Incoming, http::response::Parts};
-use tokio::time::error::Elapsed;
 
 use super::{
     Entry, Refusal,
     exchange::{Dispatch, Exchange},
     pool::{PooledConnection, SendError},
     rollout::Ticket,
+    silence::Silence,
 };
 use crate::{clock, dialect::Attempt, link::lock};
 
@@ -27,6 +27,9 @@
 /// Time without a response after which a resumable stream is requested from another backend server.
 const STREAM_START_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// How often it is checked after that time whether another backend server can take the request.
+const ALTERNATIVE_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Why a response is rejected that is not known to answer the request.
 const FOREIGN: &str = "answer to another request";
 
@@ -40,11 +43,9 @@
     MayHaveRun(Refusal),
 }
 
-/// What came of sending a request, and the connection that was used.
-pub(super) type Reply = (
-    Result<Result<Response<Incoming>, SendError>, Elapsed>,
-    PooledConnection,
-);
+/// What came of sending a request, and the connection that was used; `None` if there was no response in
+/// time.
+pub(super) type Reply = Option<(Result<Response<Incoming>, SendError>, PooledConnection)>;
 
 /// A request in flight, until the head of its response. Dropping it cancels the attempt: its connection
 /// is reset, and it counts as abandoned.
@@ -67,14 +68,13 @@
         let guard = InFlightGuard::new(self, &choice);
         let connection = self.entry.pool.acquire(key, choice.address).await;
         guard.disarm();
-        match self.send(choice, connection, last_event, 0) {
+        match self.send(choice, connection, last_event) {
             Ok(attempt) => self.first_answer(attempt, last_event).await,
             Err(outcome) => outcome,
         }
     }
 
-    /// Sends the request to the selected backend server, to which a connection was opened, while other
-    /// attempts are in flight.
+    /// Sends the request to the selected backend server, to which a connection was opened.
     ///
     /// # Errors
     ///
@@ -84,7 +84,6 @@
         choice: Selection,
         connection: std::io::Result<PooledConnection>,
         last_event: Option<u64>,
-        in_flight: u32,
     ) -> Result<InFlight, AttemptOutcome> {
         let mut connection = match connection {
             Ok(connection) => connection,
@@ -109,10 +108,10 @@
         }
         let guard = InFlightGuard::new(self, &choice);
         let ticket = self.begin_ticket(&choice);
-        let time_limit = self.head_timeout(in_flight);
+        let left = self.deadline.saturating_sub(clock::now());
         let reply = async move {
-            let response = tokio::time::timeout(time_limit, connection.send(request)).await;
-            (response, connection)
+            let response = tokio::time::timeout(left, connection.send(request)).await;
+            response.ok().map(|response| (response, connection))
         };
         Ok(InFlight {
             choice,
@@ -123,6 +122,41 @@
         })
     }
 
+    /// Waits for the response. Silence alone is no reason to end an attempt: one that may be repeated is
+    /// given up after a while, once another backend server has room for the request beside those `tried` at
+    /// the same time, or if this one is gone.
+    pub(super) async fn reply(&self, attempt: &mut InFlight, tried: &[id::Backend]) -> Reply {
+        let Some(timeout) = self.head_timeout(tried.len()) else {
+            return (&mut attempt.reply).await;
+        };
+        let mut excluded = [&self.excluded, tried].concat();
+        excluded.push(attempt.choice.backend.clone());
+        let mut silence = Silence::new(attempt.sent_at);
+        let mut check_at = attempt.sent_at + timeout;
+        loop {
+            tokio::select! {
+                biased;
+                reply = &mut attempt.reply => return reply,
+                probe = silence.probed() => {
+                    if silence.is_gone(probe, attempt.choice.address) {
+                        return None;
+                    }
+                }
+                () = tokio::time::sleep(check_at.saturating_sub(clock::now())) => {
+                    let now = clock::now();
+                    let forecast = self.forecast_backend(now, &excluded);
+                    if forecast.is_some_and(|(_, other)| !other.is_suspect && !other.is_full) {
+                        return None;
+                    }
+                    if silence.is_probe_due(now) {
+                        silence.start_probe(attempt.choice.address);
+                    }
+                    check_at = now + ALTERNATIVE_INTERVAL;
+                }
+            }
+        }
+    }
+
     /// Classifies what came of sending the request.
     pub(super) fn finish(&mut self, attempt: InFlight, reply: Reply) -> AttemptOutcome {
         let InFlight {
@@ -132,14 +166,13 @@
             guard,
             ..
         } = attempt;
-        let (response, connection) = reply;
         guard.disarm();
-        match response {
-            Ok(Ok(response)) => {
+        match reply {
+            Some((Ok(response), connection)) => {
                 let response = response.into_parts();
                 self.classify(choice, response, connection, sent_at, ticket)
             }
-            Ok(Err(SendError::NotSent)) => {
+            Some((Err(SendError::NotSent), connection)) => {
                 // A pooled connection that was closed while idle is no sign of a failed backend
                 // server.
                 let outcome = if connection.reused {
@@ -151,14 +184,14 @@
                 self.record_attempt(&choice, outcome, "not sent", &"the connection was closed");
                 AttemptOutcome::NotRun
             }
-            Ok(Err(SendError::Broken(error))) => {
+            Some((Err(SendError::Broken(error)), _)) => {
                 self.record_attempt(&choice, Outcome::Failed, "broken", &error);
                 self.record_break(&choice, sent_at);
                 self.end_ticket(ticket, Answer::Failed);
                 self.exclude_after_send(choice);
                 AttemptOutcome::MayHaveRun(Refusal::Failed)
             }
-            Err(_) => {
+            None => {
                 // If the request's own deadline expired, the backend server is not to blame.
                 let expired = self.deadline <= clock::now();
                 let (outcome, answer) = if expired {
@@ -179,21 +212,19 @@
         self.excluded.push(choice.backend);
     }
 
-    /// Returns the time limit for the head of the response, while other attempts of the request are in
-    /// flight.
-    fn head_timeout(&self, in_flight: u32) -> Duration {
-        let left = self.deadline.saturating_sub(clock::now());
-        let can_retry = self.route.is_repeatable()
-            && self.sent + in_flight + 1 < self.route.max_attempts.max(1);
-        if !can_retry {
-            return left;
-        }
-        let timeout = if self.call.prompt.is_empty() {
-            (self.route.target_latency * RESPONSE_TIMEOUT_FACTOR).max(MIN_RESPONSE_TIMEOUT)
-        } else {
-            STREAM_START_TIMEOUT
-        };
-        left.min(timeout)
+    /// Returns how long the head of the response may take until another backend server is tried; `None` if
+    /// the request may not be repeated beside `in_flight` other attempts.
+    fn head_timeout(&self, in_flight: usize) -> Option<Duration> {
+        let in_flight = u32::try_from(in_flight).unwrap_or(u32::MAX);
+        let attempts = self.sent.saturating_add(in_flight).saturating_add(1);
+        let can_retry = self.route.is_repeatable() && attempts < self.route.max_attempts.max(1);
+        can_retry.then(|| {
+            if self.call.prompt.is_empty() {
+                (self.route.target_latency * RESPONSE_TIMEOUT_FACTOR).max(MIN_RESPONSE_TIMEOUT)
+            } else {
+                STREAM_START_TIMEOUT
+            }
+        })
     }
 
     fn classify(
--- a/crates/celerycove-gateway/src/entry/hedge.rs
+++ b/crates/celerycove-gateway/src/entry/hedge.rs
@@ -72,10 +72,10 @@
 impl First {
     /// Records the reply to the first attempt, if it says how long a response takes.
     fn record_reply(&self, entry: &Entry, reply: &Reply) {
-        match &reply.0 {
-            Ok(Ok(response)) if !response.status().is_server_error() => self.record_end(entry),
-            Err(_) => self.record_end(entry),
-            Ok(_) => {}
+        match reply {
+            Some((Ok(response), _)) if response.status().is_server_error() => {}
+            Some((Err(_), _)) => {}
+            Some((Ok(_), _)) | None => self.record_end(entry),
         }
     }
 
@@ -96,13 +96,13 @@
         last_event: Option<u64>,
     ) -> AttemptOutcome {
         let Some(mut first) = self.first(&attempt, last_event) else {
-            let reply = (&mut attempt.reply).await;
+            let reply = self.reply(&mut attempt, &[]).await;
             return self.finish(attempt, reply);
         };
         let delay = lock(&self.entry.hedging.hedges).delay(attempt.sent_at, &first.attempt.class);
         let reply = match delay {
             Some(delay) => tokio::time::timeout(delay, &mut attempt.reply).await.ok(),
-            None => Some((&mut attempt.reply).await),
+            None => Some(self.reply(&mut attempt, &[]).await),
         };
         if let Some(reply) = reply {
             first.record_reply(&self.entry, &reply);
@@ -114,7 +114,7 @@
             Ok((choice, extra)) => self.race(attempt, first, choice, extra).await,
             Err(reason) => {
                 self.log_hedge(reason, &attempt.choice.backend);
-                let reply = (&mut attempt.reply).await;
+                let reply = self.reply(&mut attempt, &[]).await;
                 first.record_reply(&self.entry, &reply);
                 self.finish(attempt, reply)
             }
@@ -185,7 +185,8 @@
         now: Timestamp,
         attempt: &Attempt,
     ) -> Result<(Selection, Extra), &'static str> {
-        let (candidate, assessment) = self.forecast_backend(now).ok_or("no_server")?;
+        let forecast = self.forecast_backend(now, &self.excluded);
+        let (candidate, assessment) = forecast.ok_or("no_server")?;
         let is_usable = |backend: &id::Backend| self.entry.is_warm(now, backend);
         if assessment.is_suspect || !is_usable(&candidate) {
             return Err("no_server");
@@ -237,17 +238,18 @@
         guard.disarm();
         self.log_choice(&choice);
         self.tries += 1;
-        let Ok(mut other) = self.send(choice, connection, None, 1) else {
+        let Ok(mut other) = self.send(choice, connection, None) else {
             drop(extra);
             self.log_hedge("unsent", &attempt.choice.backend);
-            let reply = (&mut attempt.reply).await;
+            let reply = self.reply(&mut attempt, &[]).await;
             first.record_reply(&self.entry, &reply);
             return self.finish(attempt, reply);
         };
         extra.sent_at = Some(other.sent_at);
+        let tried = [other.choice.backend.clone()];
         let (is_extra, reply) = tokio::select! {
             biased;
-            reply = &mut attempt.reply => (false, reply),
+            reply = self.reply(&mut attempt, &tried) => (false, reply),
             reply = &mut other.reply => (true, reply),
         };
         let (ended, mut running) = if is_extra {
@@ -271,7 +273,7 @@
             AttemptOutcome::Responded(exchange) => Ok((self.guard_error(&exchange), exchange)),
             outcome => Err(outcome),
         };
-        let reply = (&mut running.reply).await;
+        let reply = self.reply(&mut running, &[]).await;
         if is_extra {
             first.record_reply(&self.entry, &reply);
         }
--- a/crates/celerycove-gateway/src/entry/rollout.rs
+++ b/crates/celerycove-gateway/src/entry/rollout.rs
@@ -440,16 +440,20 @@
         })
     }
 
-    /// Returns the backend server that [`choose_backend`](Self::choose_backend) would select, without
-    /// counting the request.
-    pub(super) fn forecast_backend(&self, now: Timestamp) -> Option<(id::Backend, Assessment)> {
+    /// Returns the backend server that [`choose_backend`](Self::choose_backend) would select beside those
+    /// excluded, without counting the request.
+    pub(super) fn forecast_backend(
+        &self,
+        now: Timestamp,
+        excluded: &[id::Backend],
+    ) -> Option<(id::Backend, Assessment)> {
         let rollouts = &self.entry.rollouts;
         let hash = self.program_hash();
         let (first, _) = rollouts.allowed(now, &self.service, hash, self.failed_on.as_ref());
         let request = RouteRequest {
             affinity: self.affinity,
             prompt: &self.call.prompt,
-            excluded: &self.excluded,
+            excluded,
             versions: first.versions(),
         };
         let candidates = lock(&self.entry.servers).forecast(now, &self.service, &request);
--- a/crates/celerycove-gateway/tests/callers/misbehaviour.rs
+++ b/crates/celerycove-gateway/tests/callers/misbehaviour.rs
@@ -156,6 +156,26 @@
     });
 }
 
+/// Guards against requests that are given up on time alone: the only backend server was left after three
+/// target latencies, and the caller got an error though it would have answered.
+#[test]
+fn an_only_backend_server_that_answers_late_is_waited_for() {
+    fleet::run(async |deployment: &Deployment| {
+        deployment
+            .send_heartbeat(&deployment.spare, "draining", 2)
+            .await;
+        deployment.set_failures([Failure::Late(3_400), Failure::Late(3_400)]);
+        let (plain, stream) = tokio::join!(
+            deployment.call("r1", "/plain/x", Some("key-1")),
+            deployment.stream("s1", "/resumable/x"),
+        );
+        assert_eq!(plain.status, 200);
+        assert!(stream.complete);
+        assert_eq!(stream.events(), ["1:one", "2:two", "3:three"]);
+        assert_eq!(deployment.executed_requests().len(), 2);
+    });
+}
+
 /// Guards against events that come twice if an engine goes on while another one is asked.
 #[test]
 fn a_silent_stream_that_goes_on_while_another_engine_is_asked_is_kept() {
