--- a/crates/celerycove-daemon/src/home.rs
+++ b/crates/celerycove-daemon/src/home.rs
@@ -256,7 +256,9 @@
         // new work. Requests that end calls are always accepted, since they start nothing.
         let ends = matches!(request, Request::Settle { .. } | Request::Conclude { .. });
         let fresh = self.state.is_fresh(self.process.now());
-        if !self.shards.contains_key(&shard) || !(ends || fresh) {
+        // A change that can't be saved is not acknowledged.
+        let can_save = !self.journal.as_ref().is_some_and(Writer::is_failing);
+        if !self.shards.contains_key(&shard) || !(ends || (fresh && can_save)) {
             let _ = sender.send(Response::NotPrimary);
             return;
         }
--- a/crates/celerycove-disk/src/journal.rs
+++ b/crates/celerycove-disk/src/journal.rs
@@ -77,6 +77,8 @@
     records: Records,
     /// Length after the last rewrite, or when opened.
     rewritten_bytes: u64,
+    /// Whether the last rewrite failed, so that the file may be the old or the new one.
+    rewrite_failed: bool,
 }
 
 /// State of the shards that earlier runs of the process saved.
@@ -100,6 +102,7 @@
             path,
             records,
             rewritten_bytes,
+            rewrite_failed: false,
         };
         Ok((journal, recovered))
     }
@@ -108,7 +111,8 @@
     ///
     /// # Errors
     ///
-    /// Returns an error unless the batch is synced; none of it may be acknowledged then.
+    /// Returns an error unless the batch is synced; none of it may be acknowledged then, and the journal
+    /// must be [recovered](Self::recover) before it is used again.
     pub fn save(&mut self, batch: &Batch) -> Result<(), value::Error> {
         let payloads = self.encode(&batch.entries)?;
         self.records.append(&payloads)?;
@@ -125,18 +129,39 @@
     ///
     /// # Errors
     ///
-    /// Returns an error unless the new file is in place and synced.
+    /// Returns an error unless the new file is in place and synced. The journal must be
+    /// [recovered](Self::recover) then before it is used again.
     pub fn rewrite(&mut self, snapshots: Vec<(id::Shard, Snapshot)>) -> Result<(), value::Error> {
         let entries: Vec<Entry> = snapshots
             .into_iter()
             .map(|(shard, snapshot)| Entry::Snapshot(shard, Box::new(snapshot)))
             .collect();
         let payloads = self.encode(&entries)?;
+        self.rewrite_failed = true;
         self.records = records::replace(&self.path, &payloads)?;
+        self.rewrite_failed = false;
         self.rewritten_bytes = self.records.length();
         Ok(())
     }
 
+    /// Makes the journal usable again after a failed write: it holds what was saved before, and nothing of
+    /// the batch that failed.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the file can't be read or still can't be written.
+    pub fn recover(&mut self) -> Result<(), value::Error> {
+        records::discard_successor(&self.path)?;
+        self.records = if self.rewrite_failed {
+            // Both files hold the same state, as nothing was appended since.
+            Records::open_each(&self.path, |_| {})?
+        } else {
+            Records::reopen(&self.path, self.records.length())?
+        };
+        self.rewrite_failed = false;
+        Ok(())
+    }
+
     fn encode(&self, entries: &[Entry]) -> Result<Vec<Vec<u8>>, value::Error> {
         entries
             .iter()
--- a/crates/celerycove-disk/src/records.rs
+++ b/crates/celerycove-disk/src/records.rs
@@ -105,7 +105,39 @@
         })
     }
 
-    /// Appends records with one sync. After an error the file must not be used any more.
+    /// Opens a file anew after a failed append, and removes what that left after the first `length` bytes, which
+    /// are known to be synced.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the file is shorter, or can't be opened, truncated or synced.
+    pub fn reopen(path: &Path, length: u64) -> Result<Self, Error> {
+        let error_in = |operation| move |source| io_error(operation, path, source);
+        let mut file = OpenOptions::new()
+            .read(true)
+            .write(true)
+            .create(length == 0)
+            .truncate(false)
+            .open(path)
+            .map_err(error_in("open"))?;
+        if file.metadata().map_err(error_in("read"))?.len() < length {
+            let path = path.to_owned();
+            let offset = length;
+            return Err(Error::Corrupt { path, offset });
+        }
+        file.set_len(length).map_err(error_in("truncate"))?;
+        file.sync_all().map_err(error_in("sync"))?;
+        file.seek(SeekFrom::Start(length))
+            .map_err(error_in("seek in"))?;
+        sync_parent(path)?;
+        Ok(Self {
+            path: path.to_owned(),
+            file,
+            length,
+        })
+    }
+
+    /// Appends records with one sync. After an error the file must be opened anew.
     ///
     /// # Errors
     ///
--- a/crates/celerycove-disk/tests/disk.rs
+++ b/crates/celerycove-disk/tests/disk.rs
@@ -214,6 +214,56 @@
     assert_eq!(recovered.into_iter().collect::<Vec<_>>(), snapshots);
 }
 
+/// Guards against records that are read twice, or not at all, after a write that failed in part.
+#[test]
+fn a_journal_holds_each_record_once_after_failed_writes() {
+    let directory = TempDir::new("recovered-journal");
+    let (mut journal, _) = Journal::open(directory.path()).expect("a journal");
+    let record = |sequence| Record {
+        position: Position { epoch: 1, sequence },
+        at: std::time::Duration::from_secs(sequence),
+        op: Op::Open {
+            program: format!("p{sequence}").as_str().into(),
+            organisation: "zilina".into(),
+            budget: None,
+            deadline: None,
+        },
+    };
+    let batch = |sequence| {
+        let mut batch = Batch::default();
+        batch.append(4, vec![record(sequence)]);
+        batch
+    };
+    journal.save(&batch(1)).expect("synced");
+    let file = directory.path().join("shards");
+    let synced = std::fs::read(&file).expect("bytes");
+    journal.save(&batch(2)).expect("synced");
+    let written = std::fs::read(&file).expect("bytes");
+    // The second batch was written in part, or whole but not synced.
+    for length in [synced.len() + 5, written.len()] {
+        std::fs::write(&file, &synced).expect("written");
+        let (mut journal, _) = Journal::open(directory.path()).expect("a journal");
+        std::fs::write(&file, &written[..length]).expect("written");
+        journal.recover().expect("room");
+        journal.save(&batch(2)).expect("synced");
+        let (_, recovered) = Journal::open(directory.path()).expect("a journal");
+        assert_eq!(recovered[&4].state.programs.len(), 2);
+        assert_eq!(std::fs::read(&file).expect("bytes"), written);
+    }
+    // A rewrite fails while its new file can't be created.
+    let blocked = file.with_extension("new");
+    std::fs::create_dir(&blocked).expect("a directory");
+    let (mut journal, recovered) = Journal::open(directory.path()).expect("a journal");
+    let snapshots: Vec<_> = recovered.into_iter().collect();
+    assert!(journal.rewrite(snapshots.clone()).is_err());
+    assert!(journal.recover().is_err(), "it is still blocked");
+    std::fs::remove_dir(&blocked).expect("the directory");
+    journal.recover().expect("room");
+    journal.save(&batch(3)).expect("synced");
+    let (_, recovered) = Journal::open(directory.path()).expect("a journal");
+    assert_eq!(recovered[&4].state.programs.len(), 3);
+}
+
 /// A store's snapshot takes up much of its instance's memory, so neither saving nor loading it may
 /// hold it in memory a second time.
 #[test]
