--- a/crates/celerycove-gateway/src/entry.rs
+++ b/crates/celerycove-gateway/src/entry.rs
@@ -12,6 +12,7 @@
 mod open_end;
 mod outage;
 mod outbox;
+mod pace;
 mod pool;
 pub(crate) mod rate_limit;
 mod recent;
--- a/crates/celerycove-proof/src/disk.rs
+++ b/crates/celerycove-proof/src/disk.rs
@@ -3,7 +3,8 @@
 use std::sync::{Arc, Mutex, PoisonError};
 
 use celerycove_control::{
-    Entry, Storage,
+    Command, Entry, Storage,
+    log::Members,
     storage::{Ballot, Error, PersistentState, Snapshot},
 };
 
@@ -16,6 +17,21 @@
     pub failing: bool,
 }
 
+impl Disk {
+    /// Returns the instances that were members as of any entry or snapshot on the disk.
+    #[must_use]
+    pub fn members(&self) -> Members {
+        let of_snapshot = self.durable.snapshot.iter();
+        let of_snapshot = of_snapshot.map(|snapshot| &snapshot.members);
+        let entries = self.durable.entries.iter();
+        let of_entries = entries.filter_map(|entry| match &entry.command {
+            Command::Members(members) => Some(members),
+            _ => None,
+        });
+        of_snapshot.chain(of_entries).flatten().cloned().collect()
+    }
+}
+
 /// A disk shared by a process and the simulation, which injects faults into it.
 #[derive(Debug, Clone, Default)]
 pub struct Shared(Arc<Mutex<Disk>>);
--- a/crates/celerycove-proof/src/world/turns.rs
+++ b/crates/celerycove-proof/src/world/turns.rs
@@ -12,7 +12,6 @@
     log::{Command as LogCommand, Members},
     membership::{self, Candidate},
     node::Proposed,
-    storage::PersistentState,
 };
 use celerycove_turn::{Begin, Command, End, Keep, Outcome};
 use celerycove_types::{Timestamp, Violation, id};
@@ -524,7 +523,8 @@
             ballot.is_some_and(|ballot| ballot.voter)
         };
         let disks = self.disks.iter();
-        let members = disks.flat_map(|disk| disk.with(|disk| members_on(&disk.durable)));
+        let members = disks.flat_map(|disk| disk.with(|disk| disk.members()));
+        let members = members.filter_map(|member| process_index(&member));
         let learners = self.nodes.iter().flatten().filter_map(Node::learner);
         let learners = learners.filter_map(|learner| process_index(&learner.process));
         let others = members.chain(learners).filter(|process| *process != node);
@@ -591,17 +591,3 @@
         self.send_request(process, self.last_number, command);
     }
 }
-
-/// Returns the stores that were members as of any entry or snapshot on a disk.
-fn members_on(persisted: &PersistentState) -> BTreeSet<ProcessIndex> {
-    let of_snapshot = persisted.snapshot.iter().map(|snapshot| &snapshot.members);
-    let of_entries = persisted
-        .entries
-        .iter()
-        .filter_map(|entry| match &entry.command {
-            LogCommand::Members(members) => Some(members),
-            _ => None,
-        });
-    let members = of_snapshot.chain(of_entries).flatten();
-    members.filter_map(process_index).collect()
-}
