test(control): a log that is founded by one member grows

An instance without a vote could not be added, as two of two would have had to agree, and it got no vote before it was added.

a_log_that_is_founded_by_one_member_grows failed on ("1 founders") and passes; with two founders as well. It then takes away the disk of a founder, and the log goes on.

--- a/crates/celerycove-control/tests/replacement.rs
+++ b/crates/celerycove-control/tests/replacement.rs
@@ -157,3 +157,23 @@
     run.cluster.wake(spare);
     assert!(run.complete(), "the spare instance runs again");
 }
+
+/// Guards against a log that keeps its first member as the only one: an instance without a vote could
+/// not be added to it, as two of two would have had to agree.
+#[test]
+fn a_log_that_is_founded_by_one_member_grows() {
+    for founders in [1, 2] {
+        let mut cluster = Cluster::founded(founders, 3);
+        assert!(
+            cluster.run_until(REPLACEMENT_TIMEOUT, Cluster::is_settled),
+            "{founders} founders"
+        );
+        let acknowledged = cluster.acknowledged;
+        cluster.losses = vec![Loss {
+            after: 0,
+            instance: 0,
+        }];
+        let goes_on = |cluster: &Cluster| cluster.acknowledged > acknowledged + 2;
+        assert!(cluster.run_until(RECOVERY_TIMEOUT, goes_on), "{founders}");
+    }
+}
--- a/crates/celerycove-control/tests/support/replacement.rs
+++ b/crates/celerycove-control/tests/support/replacement.rs
@@ -82,9 +82,14 @@
     /// Creates a cluster with one instance beside its first members, and lets it run until changes of
     /// the members are possible.
     pub fn new(members: usize) -> Self {
-        let founders: Members = (0..members).map(name).collect();
+        Self::founded(members, members)
+    }
+
+    /// Creates a cluster whose log is founded by fewer members than are desired.
+    pub fn founded(founders: usize, members: usize) -> Self {
+        let names: Members = (0..founders).map(name).collect();
         let instances = (0..=members).map(|index| {
-            let bootstrap = (index < members).then(|| founders.clone());
+            let bootstrap = (index < founders).then(|| names.clone());
             Instance::Running(open_node(index, bootstrap, Timestamp::ZERO))
         });
         let mut cluster = Self {
@@ -99,8 +104,10 @@
             last_token: 0,
             acknowledged: 0,
         };
-        cluster.run_for(MEMBERSHIP_DELAY * 2);
-        cluster.steps = 0;
+        if founders == members {
+            cluster.run_for(MEMBERSHIP_DELAY * 2);
+            cluster.steps = 0;
+        }
         cluster
     }
 
