--- a/crates/celerycove-control/src/replicate.rs
+++ b/crates/celerycove-control/src/replicate.rs
@@ -86,7 +86,7 @@
         self.advance_commit_index();
     }
 
-    /// Checks that a change adds or removes a single member, that the one before it is committed, and
+    /// Checks that a change adds or removes a single member, that the previous change is committed, and
     /// that an added member can vote at once: until it can, the loss of a disk could leave too few votes.
     fn check_member_change(&self, members: &Members) -> Result<(), &'static str> {
         let no_pending_change = self
--- a/crates/celerycove-gateway/src/entry/attempt.rs
+++ b/crates/celerycove-gateway/src/entry/attempt.rs
@@ -27,7 +27,7 @@
 /// Time without a response after which a resumable stream is requested from another backend server.
 const STREAM_START_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// How often it is checked after that time whether another backend server can take the request.
+/// How often an attempt that is silent for longer checks whether another backend server has room.
 const ALTERNATIVE_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Why a response is rejected that is not known to answer the request.
